--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hornbeam_model::{InstanceId, TableVersion};
+use hornbeam_model::TableVersion;
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_protocol::FrameKey;
-use hornbeam_protocol::discovery::{FEED_HEARTBEAT_MS, FeedUp, Trouble};
+use hornbeam_protocol::discovery::{EntryOffer, FEED_HEARTBEAT_MS, FeedUp, Trouble};
 use tokio::io::AsyncRead;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub enum FeedIn {
     /// An entry follows.
-    Follow(FeedId, InstanceId, FeedSender),
+    Follow(FeedId, EntryOffer, FeedSender),
     /// It shows that it lives.
     Heard(FeedId),
     /// It asks for the routing table, if later than this version.
@@ -102,7 +102,7 @@
         let frame = read_frame(stream, MAX_UP_BYTES, FEED_SILENCE);
         let Ok(Ok(frame)) = tokio::time::timeout(FEED_SILENCE, frame).await else { return };
         let message = match key.open(&frame, MAX_UP_BYTES) {
-            Ok(FeedUp::Follow { entry }) => FeedIn::Follow(id, entry, frames.clone()),
+            Ok(FeedUp::Follow(offer)) => FeedIn::Follow(id, offer, frames.clone()),
             Ok(FeedUp::FetchTable { have }) => FeedIn::FetchTable(id, have),
             Ok(FeedUp::Troubles(troubles)) => FeedIn::Troubles(id, troubles),
             Ok(FeedUp::Heartbeat) => FeedIn::Heard(id),
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -20,7 +20,7 @@
 use hornbeam_node::journal::EventLog;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
-use hornbeam_protocol::discovery::{FEED_HEARTBEAT_MS, FeedDown, ServerClaim};
+use hornbeam_protocol::discovery::{EntryOffer, FEED_HEARTBEAT_MS, FeedDown, ServerClaim};
 use hornbeam_protocol::{FrameKey, Message};
 use hornbeam_settings::{FleetSettings, SettingsError};
 use indexmap::IndexMap;
@@ -42,7 +42,7 @@
 const REOPEN_EVERY: Duration = Duration::from_secs(1);
 
 struct Follower {
-    entry: InstanceId,
+    offer: EntryOffer,
     tx: FeedSender,
 }
 
@@ -65,6 +65,8 @@
     reopen_at: Mono,
     tables: RecentTables,
     followers: IndexMap<FeedId, Follower>,
+    /// True if followers came or went since they were last told of each other.
+    followers_changed: bool,
     entries: IndexMap<InstanceId, Mono>,
     /// Other controllers and when they were last heard; never this one.
     contacts: IndexMap<InstanceId, Option<Mono>>,
@@ -136,6 +138,7 @@
             reopen_at: now,
             tables: RecentTables::default(),
             followers: IndexMap::new(),
+            followers_changed: false,
             entries: IndexMap::new(),
             contacts: IndexMap::new(),
             told_leader: None,
@@ -207,6 +210,7 @@
             }
             self.publish(lapsed);
             self.publish_news();
+            self.publish_entries();
             let troubles = self.troubles.summary(now);
             if !troubles.is_empty() {
                 self.send_all(&FeedDown::Troubles(troubles));
@@ -237,6 +241,7 @@
         self.note("suspended", true, &what);
         self.registry.forget_ready();
         self.followers.clear();
+        self.followers_changed = true;
     }
 
     /// Takes changed settings; only the seeds can change while the program runs.
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -3,10 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hornbeam_model::Mono;
+use hornbeam_model::{Mono, Zone};
 use hornbeam_node::clock::unix_ms;
-use hornbeam_protocol::discovery::{ControllerMessage, FeedChange, FeedDown, FleetNews, LifeStage};
+use hornbeam_protocol::discovery::{
+    ControllerMessage, EntryOffer, FeedChange, FeedDown, FleetNews, LifeStage,
+};
 use hornbeam_protocol::{MAX_STREAM_BYTES, Message};
+use indexmap::IndexMap;
 use serde_json::json;
 
 use super::{Controller, Follower};
@@ -67,6 +70,24 @@
         self.send_all(&news);
     }
 
+    /// Tells the entries of each zone of one another, if any came or went.
+    pub(super) fn publish_entries(&mut self) {
+        if !std::mem::take(&mut self.followers_changed) {
+            return;
+        }
+        let mut zones: IndexMap<Zone, Vec<EntryOffer>> = IndexMap::new();
+        for follower in self.followers.values() {
+            let zone = follower.offer.zone.clone();
+            zones.entry(zone).or_default().push(follower.offer.clone());
+        }
+        for (zone, offers) in zones {
+            let Some(frame) = self.seal(&FeedDown::Entries(offers)) else { continue };
+            // An entry that does not keep up follows anew and gets everything.
+            self.followers
+                .retain(|_, f| f.offer.zone != zone || f.tx.try_send(frame.clone()).is_ok());
+        }
+    }
+
     pub(super) fn news(&self) -> FleetNews {
         let now = self.clock.now();
         FleetNews {
@@ -107,11 +128,12 @@
     pub(super) fn take_feed(&mut self, feed: FeedIn) {
         let now = self.clock.now();
         match feed {
-            FeedIn::Follow(id, entry, tx) => {
-                let what = json!({"belief": "entry_follows", "entry": entry, "feed": id});
+            FeedIn::Follow(id, offer, tx) => {
+                let what = json!({"belief": "entry_follows", "entry": offer.entry, "feed": id});
                 self.note("entry", false, &what);
-                self.entries.insert(entry.clone(), now);
-                self.followers.insert(id, Follower { entry, tx });
+                self.entries.insert(offer.entry.clone(), now);
+                self.followers.insert(id, Follower { offer, tx });
+                self.followers_changed = true;
                 let servers = FeedDown::Servers(self.registry.claims());
                 self.send_one(id, &servers);
                 let news = FeedDown::News(self.news());
@@ -119,13 +141,13 @@
             }
             FeedIn::Heard(id) => {
                 if let Some(follower) = self.followers.get(&id) {
-                    self.entries.insert(follower.entry.clone(), now);
+                    self.entries.insert(follower.offer.entry.clone(), now);
                 }
             }
             FeedIn::Troubles(id, troubles) => {
                 if let Some(follower) = self.followers.get(&id) {
-                    self.entries.insert(follower.entry.clone(), now);
-                    self.troubles.report(now, follower.entry.clone(), troubles);
+                    self.entries.insert(follower.offer.entry.clone(), now);
+                    self.troubles.report(now, follower.offer.entry.clone(), troubles);
                 }
             }
             FeedIn::FetchTable(id, have) => {
@@ -134,8 +156,10 @@
                 }
             }
             FeedIn::Gone(id) => {
+                self.followers_changed = true;
                 if let Some(follower) = self.followers.shift_remove(&id) {
-                    let what = json!({"belief": "entry_gone", "entry": follower.entry, "feed": id});
+                    let what =
+                        json!({"belief": "entry_gone", "entry": follower.offer.entry, "feed": id});
                     self.note("entry_gone", true, &what);
                 }
             }
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -7,10 +7,14 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{Feeds, Reach};
-use hornbeam_model::{AttemptId, QueryId};
+use hornbeam_model::{AttemptId, InstanceId, QueryId};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
-use hornbeam_route::{Decision, Engine, Input, Outcome, Output, Refusal, Verdict, merge_records};
+use hornbeam_protocol::gather::{GatheredPart, GatheredParts};
+use hornbeam_route::{
+    Decision, Delegation, Engine, GroupRequest, Input, Outcome, Output, Refusal, Verdict,
+    merge_records,
+};
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
@@ -19,6 +23,7 @@
 use crate::answer::RawAnswer;
 use crate::backends::Backends;
 use crate::dialect::Dialect;
+use crate::mergers::Mergers;
 use crate::metrics::Metrics;
 
 /// Longest sleep of the timer task.
@@ -29,14 +34,27 @@
 pub struct RequestParts {
     /// Its id, as the caller gave it.
     pub id: SmolStr,
-    /// Its path, without the query.
-    pub path: SmolStr,
     /// Its head as it is sent on, without the fields of this entry and the empty line.
     pub head: Vec<u8>,
     /// Its whole body.
     pub body: Bytes,
 }
 
+/// A request as it was read.
+#[derive(Debug)]
+pub struct Taken {
+    /// The request as it is sent on.
+    pub parts: RequestParts,
+    /// The host it names.
+    pub host: SmolStr,
+    /// Its path, without the query.
+    pub path: SmolStr,
+    /// How long the caller waits, if it said so.
+    pub wait: Option<Duration>,
+    /// True if it is the first on its connection.
+    pub opened_connection: bool,
+}
+
 /// What a caller is told.
 #[derive(Debug)]
 pub enum Reply {
@@ -55,6 +73,22 @@
     Refuse(Refusal),
 }
 
+/// What another entry has collected of a group.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    /// Signatures of the parts.
+    pub signatures: Vec<Vec<u8>>,
+    /// Their greatest records, as they came.
+    pub records: Vec<Vec<u8>>,
+}
+
+/// What an attempt or a group brought.
+#[derive(Debug)]
+enum Brought {
+    Answer(RawAnswer),
+    Gathered(Gathered),
+}
+
 /// The engine with what waits for its outputs. Lives on the traffic thread.
 pub struct Core {
     engine: RefCell<Engine>,
@@ -66,9 +100,13 @@
     pub metrics: Metrics,
     log: StructuredLog,
     backends: Backends,
+    /// Groups of shards between entries.
+    pub mergers: Mergers,
+    /// True once the entry is told to stop.
+    leaving: Cell<bool>,
     callers: RefCell<HashMap<QueryId, oneshot::Sender<Reply>>>,
     requests: RefCell<HashMap<QueryId, Rc<RequestParts>>>,
-    answers: RefCell<HashMap<AttemptId, RawAnswer>>,
+    answers: RefCell<HashMap<AttemptId, Brought>>,
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
     next_key: Cell<u64>,
     reach: Cell<Reach>,
@@ -84,6 +122,7 @@
         dialect: Dialect,
         metrics: Metrics,
         log: StructuredLog,
+        mergers: Mergers,
     ) -> Rc<Self> {
         Rc::new(Self {
             engine: RefCell::new(engine),
@@ -92,6 +131,8 @@
             metrics,
             log,
             backends: Backends::default(),
+            mergers,
+            leaving: Cell::new(false),
             callers: RefCell::default(),
             requests: RefCell::default(),
             answers: RefCell::default(),
@@ -132,19 +173,61 @@
         self.reach.get().is_cut_off()
     }
 
+    /// A new name for a request or a group.
+    pub fn next_key(&self) -> QueryId {
+        QueryId(self.next_key.replace(self.next_key.get() + 1))
+    }
+
+    /// Takes no more groups of other entries.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.mergers.leave();
+    }
+
+    /// True if this entry collects groups for others: it knows the servers, and stays.
+    pub fn takes_groups(&self) -> bool {
+        !self.leaving.get() && !self.is_cut_off()
+    }
+
+    /// Begins to collect a group for another entry.
+    pub fn begin_gathering(self: &Rc<Self>, parts: RequestParts, group: GroupRequest) {
+        self.requests.borrow_mut().insert(group.key, Rc::new(parts));
+        self.step(Input::Gather(group));
+    }
+
+    /// The entry that asked for a group needs it no longer.
+    pub fn cancel_gathering(self: &Rc<Self>, key: QueryId) {
+        self.requests.borrow_mut().remove(&key);
+        self.step(Input::GatherCancelled(key));
+    }
+
+    /// Keeps what another entry has collected of a group.
+    pub fn keep_gathered(&self, group: AttemptId, new: Gathered) {
+        let mut answers = self.answers.borrow_mut();
+        let empty = || Brought::Gathered(Gathered::default());
+        if let Brought::Gathered(known) = answers.entry(group).or_insert_with(empty) {
+            known.signatures.extend(new.signatures);
+            known.records.extend(new.records);
+        }
+    }
+
+    /// Notes that the connection to another entry has ended.
+    pub fn note_line_lost(&self, peer: &InstanceId, reason: &std::io::Error) {
+        let what = json!({
+            "belief": "line_lost", "peer": peer, "reason": reason.to_string(),
+        });
+        self.log.write("line_lost", true, &what);
+    }
+
     /// Takes in a request; its name and where its reply comes.
-    pub fn begin(
-        self: &Rc<Self>,
-        parts: RequestParts,
-        host: SmolStr,
-        wait: Option<Duration>,
-    ) -> (QueryId, oneshot::Receiver<Reply>) {
-        let key = QueryId(self.next_key.replace(self.next_key.get() + 1));
+    pub fn begin(self: &Rc<Self>, taken: Taken) -> (QueryId, oneshot::Receiver<Reply>) {
+        let Taken { parts, host, path, wait, opened_connection } = taken;
+        let key = self.next_key();
         let (tx, rx) = oneshot::channel();
-        let (id, path) = (parts.id.clone(), parts.path.clone());
+        let id = parts.id.clone();
         self.callers.borrow_mut().insert(key, tx);
         self.requests.borrow_mut().insert(key, Rc::new(parts));
-        self.step(Input::Request { key, id, host, path, wait });
+        self.step(Input::Request { key, id, host, path, wait, opened_connection });
         (key, rx)
     }
 
@@ -161,7 +244,7 @@
         self.attempts.borrow_mut().remove(&attempt);
         self.metrics.outcomes.with_label_values(&[outcome.label()]).inc();
         if let Some(answer) = answer {
-            self.answers.borrow_mut().insert(attempt, answer);
+            self.answers.borrow_mut().insert(attempt, Brought::Answer(answer));
         }
         self.step(Input::Reply { attempt, outcome });
     }
@@ -171,8 +254,21 @@
         let mut out = Vec::new();
         let before = self.with_engine(Engine::next_wake);
         self.engine.borrow_mut().step(self.clock.now(), input, &mut out);
+        let mut cancelled = Vec::new();
         for output in out {
-            self.carry_out(output);
+            match output {
+                Output::CancelGroup(group) => cancelled.push(group),
+                output => self.carry_out(output),
+            }
+        }
+        if !cancelled.is_empty() {
+            // Behind the answer to the caller, which is written first.
+            let core = self.clone();
+            tokio::task::spawn_local(async move {
+                for group in cancelled {
+                    core.mergers.cancel(group);
+                }
+            });
         }
         let after = self.with_engine(Engine::next_wake);
         if after.is_some_and(|a| before.is_none_or(|b| a < b)) {
@@ -194,7 +290,57 @@
             }
             Output::Finish { request, verdict } => self.finish(request, verdict),
             Output::Log(decision) => self.note(&decision),
+            Output::Delegate(delegation) => self.delegate(delegation),
+            Output::ConfirmGroup(group) => self.mergers.confirm(group),
+            // They are put together in `step`.
+            Output::CancelGroup(_) => {}
+            Output::ProbePeer { peer, address } => self.mergers.probe(self, &peer, address),
+            Output::Parts { request, parts, waits, limit, last } => {
+                let records = self.collect(&parts, limit);
+                self.report(request, records, &waits, last);
+            }
+            Output::Decline(key) => {
+                self.requests.borrow_mut().remove(&key);
+                self.mergers.decline(key);
+            }
+        }
+    }
+
+    fn delegate(self: &Rc<Self>, delegation: Delegation) {
+        let Some(parts) = self.requests.borrow().get(&delegation.request).cloned() else { return };
+        self.metrics.groups_given.inc();
+        self.mergers.give(self, delegation, &parts);
+    }
+
+    /// The parts that attempts brought, and their greatest records.
+    fn collect(&self, parts: &[(usize, AttemptId)], limit: usize) -> (Vec<GatheredPart>, Vec<u8>) {
+        let mut answers = self.answers.borrow_mut();
+        let (mut gathered, mut bodies) = (Vec::new(), Vec::new());
+        for (shard, attempt) in parts {
+            let Some(Brought::Answer(answer)) = answers.remove(attempt) else { continue };
+            let Some(signature) = answer.header(&self.dialect.signature) else { continue };
+            let part = GatheredPart { shard: *shard as u32, signature: signature.to_vec() };
+            gathered.push(part);
+            bodies.push(answer.body);
+        }
+        (gathered, merge_records(bodies.iter().map(|b| &b[..]), limit))
+    }
+
+    /// Tells the entry that asked for a group which of its shards are in.
+    fn report(
+        &self,
+        key: QueryId,
+        (parts, records): (Vec<GatheredPart>, Vec<u8>),
+        waits: &[(usize, Duration)],
+        last: bool,
+    ) {
+        let waits = waits.iter().map(|(shard, wait)| (*shard as u32, wait.as_millis() as u32));
+        let parts = GatheredParts { group: 0, parts, records, waits: waits.collect(), last };
+        if last {
+            self.requests.borrow_mut().remove(&key);
+            self.metrics.groups_collected.inc();
         }
+        self.mergers.report(key, parts);
     }
 
     fn send(self: &Rc<Self>, send: hornbeam_route::Send) {
@@ -213,9 +359,12 @@
         self.requests.borrow_mut().remove(&request);
         let mut answers = self.answers.borrow_mut();
         let reply = match verdict {
-            Verdict::Forward(attempt) => answers.remove(&attempt).map(Reply::Forward),
+            Verdict::Forward(attempt) => match answers.remove(&attempt) {
+                Some(Brought::Answer(answer)) => Some(Reply::Forward(answer)),
+                Some(Brought::Gathered(_)) | None => None,
+            },
             Verdict::Merge { attempts, missing, limit } => {
-                let parts = attempts.iter().filter_map(|a| answers.remove(a)).collect();
+                let parts = attempts.iter().filter_map(|a| answers.remove(a));
                 Some(self.merge(parts, missing, limit))
             }
             Verdict::Refuse(refusal) => Some(Reply::Refuse(refusal)),
@@ -227,11 +376,22 @@
         }
     }
 
-    fn merge(&self, parts: Vec<RawAnswer>, missing: usize, limit: usize) -> Reply {
-        let body = merge_records(parts.iter().map(|p| &p.body[..]), limit);
+    fn merge(&self, parts: impl Iterator<Item = Brought>, missing: usize, limit: usize) -> Reply {
         let name = &self.dialect.signature;
-        let signatures = parts.iter().filter_map(|p| p.header(name).map(<[u8]>::to_vec));
-        let signatures = signatures.collect();
+        let (mut signatures, mut bodies) = (Vec::new(), Vec::new());
+        for part in parts {
+            match part {
+                Brought::Answer(answer) => {
+                    signatures.extend(answer.header(name).map(<[u8]>::to_vec));
+                    bodies.push(answer.body);
+                }
+                Brought::Gathered(gathered) => {
+                    signatures.extend(gathered.signatures);
+                    bodies.extend(gathered.records.into_iter().map(Bytes::from));
+                }
+            }
+        }
+        let body = merge_records(bodies.iter().map(|b| &b[..]), limit);
         self.metrics.missing_shards.inc_by(missing as u64);
         Reply::Merged { signatures, missing, body }
     }
@@ -258,6 +418,13 @@
             Decision::Restored { .. } => "restored",
             Decision::ServerChanged { .. } => "server_changed",
             Decision::TableInForce { .. } => "table_in_force",
+            Decision::Delegated { .. } => "delegated",
+            Decision::GroupFailed { .. } => "group_failed",
+            Decision::Gathering { .. } => "gathering",
+            Decision::Gathered { missing, .. } if *missing > 0 => "gathered_short",
+            Decision::Gathered { .. } => "gathered",
+            Decision::PeerSuspected { .. } => "peer_suspected",
+            Decision::PeerRestored { .. } => "peer_restored",
         };
         self.log.write(kind, decision.is_failure(), decision);
     }
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -15,9 +15,11 @@
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
-use hornbeam_protocol::discovery::{FEED_HEARTBEAT_MS, FeedDown, FeedUp, FleetNews, Trouble};
+use hornbeam_protocol::discovery::{
+    EntryOffer, FEED_HEARTBEAT_MS, FeedDown, FeedUp, FleetNews, Trouble,
+};
 use hornbeam_protocol::{FrameKey, MAX_STREAM_BYTES};
-use hornbeam_route::{ServerChange, ServerTrouble};
+use hornbeam_route::{Peer, ServerChange, ServerTrouble};
 use hornbeam_settings::{FleetSettings, SettingsError};
 use indexmap::IndexMap;
 use serde_json::json;
@@ -52,6 +54,8 @@
     Heard(Feeds),
     /// Servers that other entries have found not well.
     Hearsay(Vec<ServerTrouble>),
+    /// The other entries of the own zone.
+    Peers(Vec<Peer>),
 }
 
 /// What the feeds need to know.
@@ -76,6 +80,8 @@
     connected: bool,
     /// Entries that it hears.
     entries: u32,
+    /// Those of the own zone.
+    zone_entries: Vec<EntryOffer>,
 }
 
 struct Follower {
@@ -150,17 +156,27 @@
         let (up, rx) = mpsc::unbounded_channel();
         let line = Line {
             controller: controller.clone(),
-            me: self.me.clone(),
+            me: self.offer(),
             address,
             key: self.key.clone(),
             events: self.events.clone(),
         };
         let task = tokio::task::spawn_local(line.keep(rx)).abort_handle();
         let heard = self.params.clock.now();
-        let feed = Feed { up, task, heard, connected: false, entries: 0 };
+        let feed = Feed { up, task, heard, connected: false, entries: 0, zone_entries: Vec::new() };
         self.feeds.insert(controller.clone(), feed);
     }
 
+    /// What this entry offers to others.
+    fn offer(&self) -> EntryOffer {
+        let settings = &self.params.settings;
+        EntryOffer {
+            entry: self.me.clone(),
+            address: SocketAddr::new(settings.address, settings.inner_port),
+            zone: settings.zone.clone(),
+        }
+    }
+
     fn note(&self, kind: &'static str, is_failure: bool, what: &serde_json::Value) {
         self.params.log.write(kind, is_failure, what);
     }
@@ -220,6 +236,7 @@
                 None => self.fetch(now, from, TableVersion(0)),
             },
             FeedDown::Table(table) => self.take_table((*table).clone()),
+            FeedDown::Entries(offers) => self.take_entries(from, offers),
             FeedDown::Troubles(troubles) => {
                 let told = troubles.into_iter();
                 let told = told.map(|t| ServerTrouble {
@@ -258,6 +275,22 @@
         self.tell(FeedEvent::Servers(changes.collect()));
     }
 
+    /// Takes the entries of the zone that one controller hears; all controllers together know them.
+    fn take_entries(&mut self, from: &InstanceId, offers: Vec<EntryOffer>) {
+        if let Some(feed) = self.feeds.get_mut(from) {
+            feed.zone_entries = offers;
+        }
+        let offers = self.feeds.values().flat_map(|f| &f.zone_entries);
+        let others = offers.filter(|o| o.entry != self.me);
+        let peers: IndexMap<&InstanceId, &EntryOffer> = others.map(|o| (&o.entry, o)).collect();
+        let peers = peers.into_values().map(|o| Peer {
+            name: o.entry.clone(),
+            address: o.address,
+            zone: o.zone.clone(),
+        });
+        self.tell(FeedEvent::Peers(peers.collect()));
+    }
+
     fn take_news(&mut self, now: Mono, from: &InstanceId, news: &FleetNews) {
         for controller in &news.controllers {
             self.follow(controller);
@@ -346,7 +379,7 @@
 /// The connection to one controller.
 struct Line {
     controller: InstanceId,
-    me: InstanceId,
+    me: EntryOffer,
     address: SocketAddr,
     key: FrameKey,
     events: mpsc::UnboundedSender<(InstanceId, FeedNote)>,
@@ -406,7 +439,7 @@
         stream: &mut W,
         rx: &mut mpsc::UnboundedReceiver<FeedUp>,
     ) -> std::io::Error {
-        let mut message = FeedUp::Follow { entry: self.me.clone() };
+        let mut message = FeedUp::Follow(self.me.clone());
         loop {
             let frame = match self.key.seal(&message, MAX_STREAM_BYTES) {
                 Ok(frame) => frame,
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 use crate::backends::{end_to_end, request_head};
-use crate::core::{Core, Reply, RequestParts};
+use crate::core::{Core, Reply, RequestParts, Taken};
 
 /// Callers' connections open at once.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -83,9 +83,10 @@
     let patience = Duration::from_millis(u64::from(limits.idle_timeout_ms))
         + Duration::from_millis(u64::from(limits.header_timeout_ms));
     let looks = stage.clone();
+    let is_first = Cell::new(true);
     let service = service_fn(move |req| {
-        let (core, stage) = (core.clone(), *looks.borrow());
-        async move { Ok::<_, Infallible>(answer(core, req, stage).await) }
+        let (core, stage, opened) = (core.clone(), *looks.borrow(), is_first.replace(false));
+        async move { Ok::<_, Infallible>(answer(core, req, opened, stage).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -121,10 +122,15 @@
     }
 }
 
-async fn answer(core: Rc<Core>, req: Request<Incoming>, stage: Stage) -> Response<Full<Bytes>> {
-    let mut response = match take_in(&core, req).await {
-        Ok((parts, host, wait)) => {
-            let (key, rx) = core.begin(parts, host, wait);
+async fn answer(
+    core: Rc<Core>,
+    req: Request<Incoming>,
+    opened_connection: bool,
+    stage: Stage,
+) -> Response<Full<Bytes>> {
+    let mut response = match take_in(&core, req, opened_connection).await {
+        Ok(taken) => {
+            let (key, rx) = core.begin(taken);
             let caller = Caller { core: core.clone(), key };
             let reply = rx.await;
             drop(caller);
@@ -142,10 +148,12 @@
     response
 }
 
-type Taken = (RequestParts, SmolStr, Option<Duration>);
-
 /// Reads a whole request, or says what is wrong with it.
-async fn take_in(core: &Rc<Core>, req: Request<Incoming>) -> Result<Taken, Response<Full<Bytes>>> {
+async fn take_in(
+    core: &Rc<Core>,
+    req: Request<Incoming>,
+    opened_connection: bool,
+) -> Result<Taken, Response<Full<Bytes>>> {
     let (head, body) = req.into_parts();
     let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
     let host = head.uri.host().or_else(|| text(&header::HOST)).map(SmolStr::new);
@@ -175,7 +183,8 @@
     let target = target.to_owned();
     let headers = end_to_end(head.headers);
     let head = request_head(&core.dialect, &head.method, &target, &headers, &body);
-    Ok((RequestParts { id, path, head, body }, host, wait))
+    let parts = RequestParts { id, head, body };
+    Ok(Taken { parts, host, path, wait, opened_connection })
 }
 
 async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Response<Full<Bytes>>> {
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`front`]: callers' connections
 //! - [`answer`]: reads a server's answer
 //! - [`backends`]: connections to backend servers
+//! - [`mergers`]: groups of shards between entries
+//! - [`line`]: a connection between two entries
 //! - [`feeds`]: follows the controllers on a thread of its own
 //! - [`metrics`]: Prometheus metrics
 //! - [`run`]: starts and stops all of it
@@ -18,6 +20,8 @@
 pub mod dialect;
 pub mod feeds;
 pub mod front;
+pub mod line;
+pub mod mergers;
 pub mod metrics;
 pub mod run;
 
--- /dev/null
+++ b/crates/hornbeam_entry/src/line.rs
@@ -0,0 +1,145 @@
+//! A connection between two entries that carries messages both ways.
+//!
+//! Messages are written right away as far as the socket takes them; what is left waits for it. What has
+//! arrived is taken in one batch, so that a withdrawal is seen before what it withdraws is begun.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use hornbeam_protocol::FrameKey;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Longest message taken or sent, in bytes: a request body of the longest kind with its head.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Bytes that may wait for the other entry; one that does not keep up is taken for lost.
+const MAX_PENDING_BYTES: usize = 8 << 20;
+/// Room for one read, in bytes.
+const READ_BYTES: usize = 8 << 10;
+/// Time after which unacknowledged bytes break the connection: the other entry is cut off.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One end of the connection.
+pub struct Line {
+    stream: TcpStream,
+    key: FrameKey,
+    pending: RefCell<BytesMut>,
+    /// Wakes the task of the connection when bytes wait or the line is to close.
+    wake: Notify,
+    closed: Cell<bool>,
+}
+
+impl Line {
+    /// A line on a new connection.
+    ///
+    /// # Errors
+    ///
+    /// The socket does not take its options.
+    pub fn new(stream: TcpStream, key: FrameKey) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        Ok(Self {
+            stream,
+            key,
+            pending: RefCell::default(),
+            wake: Notify::new(),
+            closed: Cell::new(false),
+        })
+    }
+
+    /// Sends a message, or keeps it until the socket takes it.
+    pub fn send<T: Serialize>(&self, message: &T) {
+        let frame = match self.key.seal(message, MAX_MESSAGE_BYTES) {
+            Ok(frame) => frame,
+            Err(e) => return log::error!("a message to another entry cannot be encoded: {e}"),
+        };
+        let mut bytes = Vec::with_capacity(4 + frame.len());
+        bytes.extend_from_slice(&(frame.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&frame);
+        let mut pending = self.pending.borrow_mut();
+        // An error shows at the next read.
+        let written =
+            if pending.is_empty() { self.stream.try_write(&bytes).unwrap_or(0) } else { 0 };
+        if written < bytes.len() {
+            pending.extend_from_slice(&bytes[written..]);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Carries messages until the connection ends, each batch as it comes to `take`.
+    pub async fn run<T: DeserializeOwned>(&self, mut take: impl FnMut(Vec<T>)) -> io::Error {
+        let mut buf = BytesMut::with_capacity(READ_BYTES);
+        loop {
+            if self.closed.get() {
+                return io::ErrorKind::NotConnected.into();
+            }
+            let waiting = !self.pending.borrow().is_empty();
+            tokio::select! {
+                readable = self.stream.readable() => {
+                    if let Err(e) = readable.and_then(|()| self.read(&mut buf)) {
+                        return e;
+                    }
+                    match self.decode(&mut buf) {
+                        Ok(batch) if batch.is_empty() => {}
+                        Ok(batch) => take(batch),
+                        Err(e) => return e,
+                    }
+                }
+                writable = self.stream.writable(), if waiting => {
+                    if let Err(e) = writable.and_then(|()| self.flush()) {
+                        return e;
+                    }
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    fn read(&self, buf: &mut BytesMut) -> io::Result<()> {
+        buf.reserve(READ_BYTES);
+        match self.stream.try_read_buf(buf) {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Err(e) if e.kind() != io::ErrorKind::WouldBlock => Err(e),
+            Ok(_) | Err(_) => Ok(()),
+        }
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let mut pending = self.pending.borrow_mut();
+        if pending.len() > MAX_PENDING_BYTES {
+            return Err(io::Error::other("the other entry does not keep up"));
+        }
+        match self.stream.try_write(&pending) {
+            Ok(written) => pending.advance(written),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        Ok(())
+    }
+
+    /// All messages that have arrived whole.
+    fn decode<T: DeserializeOwned>(&self, buf: &mut BytesMut) -> io::Result<Vec<T>> {
+        let mut batch = Vec::new();
+        while let Some(length) = buf.first_chunk::<4>() {
+            let length = u32::from_le_bytes(*length) as usize;
+            if length > MAX_MESSAGE_BYTES {
+                return Err(io::Error::other("a message is too long: run one release"));
+            }
+            let Some(frame) = buf.get(4..4 + length) else { break };
+            batch.push(self.key.open(frame, MAX_MESSAGE_BYTES).map_err(io::Error::other)?);
+            buf.advance(4 + length);
+        }
+        Ok(batch)
+    }
+}
--- /dev/null
+++ b/crates/hornbeam_entry/src/mergers.rs
@@ -0,0 +1,345 @@
+//! Groups of shards between entries: those given away and those collected for others.
+//!
+//! - this entry gives groups away on connections that it opens, one to each other entry
+//! - it collects the groups of others that come on connections to its inner port
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_model::{AttemptId, InstanceId, QueryId};
+use hornbeam_protocol::FrameKey;
+use hornbeam_protocol::gather::{GatherDown, GatherRequest, GatherUp, GatheredParts};
+use hornbeam_route::{Delegation, GroupNews, GroupRequest, Input};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::core::{Core, Gathered, RequestParts};
+use crate::line::Line;
+
+/// Longest time to open a connection to another entry.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Wait after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The connection to another entry.
+enum Link {
+    /// It is being opened; these wait for it.
+    Opening(Vec<GatherUp>),
+    Open(Rc<Line>),
+}
+
+/// A group that this entry collects.
+struct Collected {
+    line: Rc<Line>,
+    /// Its name on that line.
+    group: u64,
+}
+
+/// Groups given away and collected.
+pub struct Mergers {
+    me: InstanceId,
+    key: FrameKey,
+    links: RefCell<HashMap<InstanceId, Link>>,
+    /// Groups given away and to whom.
+    given: RefCell<HashMap<AttemptId, InstanceId>>,
+    collected: RefCell<HashMap<QueryId, Collected>>,
+    /// Connections of others.
+    lines: RefCell<Vec<Rc<Line>>>,
+}
+
+impl Mergers {
+    /// No connections yet.
+    pub fn new(me: InstanceId, key: FrameKey) -> Self {
+        Self {
+            me,
+            key,
+            links: RefCell::default(),
+            given: RefCell::default(),
+            collected: RefCell::default(),
+            lines: RefCell::default(),
+        }
+    }
+
+    /// Gives a group to another entry.
+    pub fn give(&self, core: &Rc<Core>, delegation: Delegation, parts: &RequestParts) {
+        self.given.borrow_mut().insert(delegation.group, delegation.peer.clone());
+        let request = GatherRequest {
+            group: delegation.group.0,
+            request: parts.id.clone(),
+            route: (*delegation.route).clone(),
+            head: parts.head.clone(),
+            body: parts.body.to_vec(),
+            due_us: delegation.due_in.as_micros() as u64,
+            left_us: delegation.left.as_micros() as u64,
+        };
+        let message = GatherUp::Gather(Box::new(request));
+        self.tell(core, &delegation.peer, delegation.address, message);
+    }
+
+    /// Leaves a group to the entry that has begun with it.
+    pub fn confirm(&self, group: AttemptId) {
+        let (given, links) = (self.given.borrow(), self.links.borrow());
+        if let Some(Link::Open(line)) = given.get(&group).and_then(|p| links.get(p)) {
+            line.send(&GatherUp::Confirm { group: group.0 });
+        }
+    }
+
+    /// Takes back a group that was given away.
+    pub fn cancel(&self, group: AttemptId) {
+        let Some(peer) = self.given.borrow_mut().remove(&group) else { return };
+        let cancelled = |m: &GatherUp| matches!(m, GatherUp::Gather(g) if g.group == group.0);
+        match self.links.borrow_mut().get_mut(&peer) {
+            Some(Link::Open(line)) => line.send(&GatherUp::Cancel { group: group.0 }),
+            Some(Link::Opening(waiting)) => waiting.retain(|m| !cancelled(m)),
+            None => {}
+        }
+    }
+
+    /// Asks another entry whether it is there.
+    pub fn probe(&self, core: &Rc<Core>, peer: &InstanceId, address: SocketAddr) {
+        self.tell(core, peer, address, GatherUp::Probe);
+    }
+
+    fn tell(&self, core: &Rc<Core>, peer: &InstanceId, address: SocketAddr, message: GatherUp) {
+        let mut links = self.links.borrow_mut();
+        match links.get_mut(peer) {
+            Some(Link::Open(line)) => return line.send(&message),
+            Some(Link::Opening(waiting)) => return waiting.push(message),
+            None => {}
+        }
+        links.insert(peer.clone(), Link::Opening(vec![message]));
+        let (core, peer) = (core.clone(), peer.clone());
+        tokio::task::spawn_local(async move { keep_link(&core, &peer, address).await });
+    }
+
+    /// Closes the connections to entries that are not among `peers` any more.
+    pub fn keep_only(&self, peers: &[InstanceId]) {
+        for (name, link) in &*self.links.borrow() {
+            if let Link::Open(line) = link
+                && !peers.contains(name)
+            {
+                line.close();
+            }
+        }
+    }
+
+    /// A group given to `peer` that is not given to it any more.
+    fn lost(&self, peer: &InstanceId) -> Vec<AttemptId> {
+        let mut given = self.given.borrow_mut();
+        let lost = given.iter().filter(|(_, p)| *p == peer).map(|(group, _)| *group);
+        let mut lost: Vec<AttemptId> = lost.collect();
+        lost.sort_unstable();
+        given.retain(|_, p| p != peer);
+        lost
+    }
+
+    /// Tells the entry that asked for a group what is in, if it still needs it.
+    pub fn report(&self, key: QueryId, mut parts: GatheredParts) {
+        let mut collected = self.collected.borrow_mut();
+        let Some(c) = collected.get(&key) else { return };
+        parts.group = c.group;
+        let last = parts.last;
+        c.line.send(&GatherDown::Parts(parts));
+        if last {
+            collected.remove(&key);
+        }
+    }
+
+    /// Tells the entry that asked for a group that it is not taken.
+    pub fn decline(&self, key: QueryId) {
+        if let Some(c) = self.collected.borrow_mut().remove(&key) {
+            c.line.send(&GatherDown::Declined { group: c.group });
+        }
+    }
+
+    /// Tells all entries that groups are not taken any more.
+    pub fn leave(&self) {
+        for line in &*self.lines.borrow() {
+            line.send(&GatherDown::Leaving);
+        }
+    }
+
+    /// Groups that this entry collects.
+    pub fn collecting(&self) -> usize {
+        self.collected.borrow().len()
+    }
+}
+
+/// Opens the connection to another entry and carries its messages until it ends.
+async fn keep_link(core: &Rc<Core>, peer: &InstanceId, address: SocketAddr) {
+    let mergers = &core.mergers;
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let line = match connect.await {
+        Ok(Ok(stream)) => Line::new(stream, mergers.key.clone()).ok(),
+        _ => None,
+    };
+    let Some(line) = line.map(Rc::new) else {
+        mergers.links.borrow_mut().remove(peer);
+        for group in mergers.lost(peer) {
+            core.step(Input::Group { group, news: GroupNews::Unsent });
+        }
+        return;
+    };
+    line.send(&GatherUp::Hello { entry: mergers.me.clone() });
+    let waiting = mergers.links.borrow_mut().insert(peer.clone(), Link::Open(line.clone()));
+    if let Some(Link::Opening(waiting)) = waiting {
+        for message in waiting {
+            line.send(&message);
+        }
+    }
+    let end = line.run(|batch: Vec<GatherDown>| {
+        for message in batch {
+            take_news(core, peer, message);
+        }
+    });
+    let end = end.await;
+    mergers.links.borrow_mut().remove(peer);
+    core.note_line_lost(peer, &end);
+    for group in mergers.lost(peer) {
+        core.step(Input::Group { group, news: GroupNews::Lost });
+    }
+}
+
+fn take_news(core: &Rc<Core>, peer: &InstanceId, message: GatherDown) {
+    let mergers = &core.mergers;
+    let is_given = |group: u64| mergers.given.borrow().contains_key(&AttemptId(group));
+    let end = |group: u64| mergers.given.borrow_mut().remove(&AttemptId(group));
+    core.step(Input::PeerHeard(peer.clone()));
+    match message {
+        GatherDown::Here => {}
+        GatherDown::Leaving => core.step(Input::PeerLeaving(peer.clone())),
+        GatherDown::Begun { group } => {
+            if is_given(group) {
+                core.step(Input::Group { group: AttemptId(group), news: GroupNews::Begun });
+            }
+        }
+        GatherDown::Declined { group } => {
+            if end(group).is_some() {
+                core.step(Input::Group { group: AttemptId(group), news: GroupNews::Declined });
+            }
+        }
+        GatherDown::Parts(parts) => {
+            // What comes of a group that was taken back is of no use.
+            if !is_given(parts.group) {
+                return;
+            }
+            if parts.last {
+                end(parts.group);
+            }
+            take_parts(core, parts);
+        }
+    }
+}
+
+fn take_parts(core: &Rc<Core>, parts: GatheredParts) {
+    let group = AttemptId(parts.group);
+    let shards = parts.parts.iter().map(|p| p.shard as usize).collect();
+    let waits = parts.waits.iter();
+    let waits = waits.map(|(shard, ms)| (*shard as usize, Duration::from_millis(u64::from(*ms))));
+    let news = GroupNews::Parts { shards, waits: waits.collect(), last: parts.last };
+    let signatures = parts.parts.into_iter().map(|p| p.signature).collect();
+    core.keep_gathered(group, Gathered { signatures, records: vec![parts.records] });
+    core.step(Input::Group { group, news });
+}
+
+/// Takes the connections of other entries that give groups to this one.
+pub async fn accept(core: Rc<Core>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let line = match Line::new(stream, core.mergers.key.clone()) {
+            Ok(line) => Rc::new(line),
+            Err(e) => {
+                log::warn!("the connection of another entry was refused: {e}");
+                continue;
+            }
+        };
+        let core = core.clone();
+        tokio::task::spawn_local(async move { serve(&core, line).await });
+    }
+}
+
+async fn serve(core: &Rc<Core>, line: Rc<Line>) {
+    let mergers = &core.mergers;
+    mergers.lines.borrow_mut().push(line.clone());
+    let end = line.run(|batch: Vec<GatherUp>| take_batch(core, &line, batch)).await;
+    if end.kind() != std::io::ErrorKind::UnexpectedEof {
+        log::warn!("the connection of another entry broke: {end}");
+    }
+    mergers.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, &line));
+    let mut open: Vec<QueryId> = Vec::new();
+    mergers.collected.borrow_mut().retain(|key, c| {
+        let of_line = Rc::ptr_eq(&c.line, &line);
+        open.extend(of_line.then_some(*key));
+        !of_line
+    });
+    for key in open {
+        core.cancel_gathering(key);
+    }
+}
+
+fn take_batch(core: &Rc<Core>, line: &Rc<Line>, batch: Vec<GatherUp>) {
+    let cancels = batch.iter().filter_map(|m| match m {
+        GatherUp::Cancel { group } => Some(*group),
+        _ => None,
+    });
+    // A suspended entry finds both at once when it goes on.
+    let cancelled: Vec<u64> = cancels.collect();
+    for message in batch {
+        match message {
+            GatherUp::Hello { entry } => log::debug!("{entry} gives groups to this entry"),
+            GatherUp::Probe => line.send(&answer_to_probe(core)),
+            GatherUp::Cancel { group } => cancel(core, line, group),
+            GatherUp::Confirm { group } => {
+                if let Some(key) = collected(core, line, group) {
+                    core.step(Input::GatherConfirmed(key));
+                }
+            }
+            GatherUp::Gather(asked) if cancelled.contains(&asked.group) => {}
+            GatherUp::Gather(asked) => begin(core, line, *asked),
+        }
+    }
+}
+
+fn answer_to_probe(core: &Core) -> GatherDown {
+    if core.takes_groups() { GatherDown::Here } else { GatherDown::Leaving }
+}
+
+/// The group of this name that is collected for the entry at the other end of a line.
+fn collected(core: &Core, line: &Rc<Line>, group: u64) -> Option<QueryId> {
+    let collected = core.mergers.collected.borrow();
+    let of_group = |c: &Collected| c.group == group && Rc::ptr_eq(&c.line, line);
+    collected.iter().find(|(_, c)| of_group(c)).map(|(key, _)| *key)
+}
+
+fn cancel(core: &Rc<Core>, line: &Rc<Line>, group: u64) {
+    let Some(key) = collected(core, line, group) else { return };
+    core.mergers.collected.borrow_mut().remove(&key);
+    core.cancel_gathering(key);
+}
+
+fn begin(core: &Rc<Core>, line: &Rc<Line>, asked: GatherRequest) {
+    if !core.takes_groups() {
+        return line.send(&GatherDown::Declined { group: asked.group });
+    }
+    let key = core.next_key();
+    let parts =
+        RequestParts { id: asked.request.clone(), head: asked.head, body: asked.body.into() };
+    let group = GroupRequest {
+        key,
+        id: asked.request,
+        route: Arc::new(asked.route),
+        due_in: Duration::from_micros(asked.due_us),
+        left: Duration::from_micros(asked.left_us),
+    };
+    let collected = Collected { line: line.clone(), group: asked.group };
+    core.mergers.collected.borrow_mut().insert(key, collected);
+    // Before the work: until it is confirmed, nothing is sent twice.
+    line.send(&GatherDown::Begun { group: asked.group });
+    core.begin_gathering(parts, group);
+}
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts and stops an entry.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{BindSnafu, ProgramError, SettingsSnafu, StartSnafu};
 use hornbeam_node::structured::StructuredLog;
+use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::Trouble;
 use hornbeam_route::{BudgetParams, Engine, EngineParams, Input, ServerChange};
 use hornbeam_settings::FleetSettings;
@@ -23,13 +25,17 @@
 use crate::dialect::Dialect;
 use crate::feeds::{FeedEvent, FeedParams};
 use crate::front::{Stage, accept};
+use crate::mergers::{self, Mergers};
 use crate::metrics::Metrics;
 
 /// Time for which an attempt that nobody waits for may go on: work that ends sooner than a new
 /// connection is worth keeping, and a caller that left wants its work stopped within half a second.
 const LINGER: Duration = Duration::from_millis(300);
-/// Part of the grace period, in hundredths, for which new connections are served after SIGTERM.
-const NOTICE_PERCENT: u32 = 55;
+/// Part of the grace period, in hundredths, for which new connections are served after SIGTERM: callers
+/// have looked away by then, and what comes has the other half to end.
+const NOTICE_PERCENT: u32 = 50;
+/// Time before the end of the grace period at which what is still in flight gets its final answer.
+const LAST_ANSWERS: Duration = Duration::from_millis(800);
 /// Time before the end of the grace period at which the process ends.
 const LAST_MOMENT: Duration = Duration::from_millis(500);
 /// Requests in flight for each megabyte of memory; a request with its parts takes some 100 KB.
@@ -64,6 +70,7 @@
             window: Duration::from_secs(u64::from(settings.budget.window_s)),
             allowance: settings.budget.allowance,
         },
+        delegate_above: settings.delegate_above,
         max_running: settings.memory_mb as usize * REQUESTS_PER_MB,
         linger: LINGER,
         seed: rand::random(),
@@ -82,7 +89,9 @@
     let metrics = Metrics::default();
     let engine = Engine::new(engine_params(&settings));
     let ready_path = dialect.ready_path.clone();
-    let core = Core::new(engine, clock, dialect, metrics, log.clone());
+    let key = FrameKey::new(settings.key.as_bytes());
+    let mergers = Mergers::new(settings.instance.clone(), key);
+    let core = Core::new(engine, clock, dialect, metrics, log.clone(), mergers);
     let (stage_tx, stage) = watch::channel(Stage::Serving);
 
     let callers = settings.callers.ok_or(ProgramError::Missing { field: "callers" })?;
@@ -96,6 +105,10 @@
         let pages = metrics_pages(&core);
         serve(address, pages).await.context(BindSnafu { field: "metrics", address })?;
     }
+    let inner = SocketAddr::new(settings.bind.unwrap_or(settings.address), settings.inner_port);
+    let groups = TcpListener::bind(inner).await;
+    let groups = groups.context(BindSnafu { field: "inner_port", address: inner })?;
+    tokio::task::spawn_local(mergers::accept(core.clone(), groups));
     let (reload_tx, reload) = mpsc::unbounded_channel();
     let (trouble_tx, troubles) = mpsc::unbounded_channel();
     let (tx, mut events) = mpsc::unbounded_channel();
@@ -126,7 +139,8 @@
         }
     }
     log.write("lifecycle", false, &json!({"lifecycle": "draining"}));
-    let drain = drain(&open, &stage_tx, grace);
+    core.leave();
+    let drain = drain(&core, &open, &stage_tx, grace);
     let mut drain = std::pin::pin!(drain);
     loop {
         tokio::select! {
@@ -196,6 +210,11 @@
             core.metrics.table_version.set(table.version.0 as i64);
             core.step(Input::Table(table));
         }
+        FeedEvent::Peers(peers) => {
+            let names: Vec<_> = peers.iter().map(|p| p.name.clone()).collect();
+            core.mergers.keep_only(&names);
+            core.step(Input::Peers(peers));
+        }
         FeedEvent::Hearsay(told) => core.step(Input::Hearsay(told)),
         FeedEvent::Entries(entries) => core.step(Input::Entries(entries)),
         FeedEvent::Heard(feeds) => core.note_feeds(feeds),
@@ -222,15 +241,19 @@
 
 /// Tells callers to go elsewhere, then takes no more connections, closes idle ones, and waits until the
 /// others have ended with their answers.
-async fn drain(open: &Cell<usize>, stage: &watch::Sender<Stage>, grace: Duration) {
+async fn drain(core: &Rc<Core>, open: &Cell<usize>, stage: &watch::Sender<Stage>, grace: Duration) {
     stage.send_replace(Stage::Draining);
     let began = tokio::time::Instant::now();
     tokio::time::sleep(grace * NOTICE_PERCENT / 100).await;
     stage.send_replace(Stage::Closing);
-    let end = began + grace.saturating_sub(LAST_MOMENT);
-    while open.get() > 0 && tokio::time::Instant::now() < end {
-        tokio::time::sleep(DRAIN_POLL).await;
-    }
+    let in_flight = || open.get() + core.mergers.collecting() > 0;
+    let wait_until = async |end| {
+        while in_flight() && tokio::time::Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    wait_until(began + grace.saturating_sub(LAST_ANSWERS)).await;
+    wait_until(began + grace.saturating_sub(LAST_MOMENT)).await;
     // The last answers are on their way through the sockets.
     tokio::time::sleep(DRAIN_POLL).await;
 }
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -78,6 +78,17 @@
     pub table: TableVersion,
 }
 
+/// An entry that collects groups of shards for others of its zone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryOffer {
+    /// Its name.
+    pub entry: InstanceId,
+    /// Where it takes groups.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+}
+
 /// What an entry has found out about a server that is not well.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Trouble {
@@ -102,6 +113,8 @@
     TableDelta(Box<RoutingDelta>),
     /// The whole routing table.
     Table(Arc<Routing>),
+    /// All entries of the follower's zone that the controller hears, the follower included.
+    Entries(Vec<EntryOffer>),
     /// Servers that several entries have found not well, at the worst as most of them say.
     Troubles(Vec<Trouble>),
 }
@@ -110,10 +123,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FeedUp {
     /// Begins to follow.
-    Follow {
-        /// The entry.
-        entry: InstanceId,
-    },
+    Follow(EntryOffer),
     /// Asks for the routing table, if later than this version.
     FetchTable {
         /// The version that the entry has.
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -1,6 +1,6 @@
 //! What was decided and why, for the log.
 
-use hornbeam_model::{AttemptId, RouteId, ServerId, ServiceId, TableVersion};
+use hornbeam_model::{AttemptId, InstanceId, RouteId, ServerId, ServiceId, TableVersion};
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -32,6 +32,27 @@
     }
 }
 
+/// Why another entry did not collect a group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GroupFailure {
+    /// It takes no groups; nothing ran.
+    Declined,
+    /// There is no connection to it; nothing ran.
+    Unreachable,
+    /// It did not begin in time.
+    NotBegun,
+    /// The connection broke.
+    Lost,
+}
+
+impl GroupFailure {
+    /// True if nothing of the group has run.
+    pub fn has_not_run(self) -> bool {
+        matches!(self, Self::Declined | Self::Unreachable)
+    }
+}
+
 /// What was decided and why. Times are in milliseconds.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
@@ -61,6 +82,41 @@
     },
     /// No second request was sent to a late shard: the budget is used up.
     HedgeDenied { request: SmolStr, service: ServiceId, entries: u32 },
+    /// The shards of a search were given to other entries in groups.
+    Delegated { request: SmolStr, shards: usize, groups: usize, peers: usize },
+    /// Another entry did not collect a group; `sent_from_here` of its shards are sent by this one.
+    GroupFailed {
+        request: SmolStr,
+        peer: InstanceId,
+        reason: GroupFailure,
+        after_ms: u64,
+        shards: usize,
+        sent_from_here: usize,
+    },
+    /// This entry collects a group of shards for another one.
+    Gathering {
+        request: SmolStr,
+        route: RouteId,
+        due_ms: u64,
+        shards: usize,
+        sent: usize,
+        waiting: usize,
+        lacking: usize,
+    },
+    /// A group that this entry collects has ended; numbers as in `Answered`.
+    Gathered {
+        request: SmolStr,
+        took_ms: u64,
+        parts: usize,
+        missing: usize,
+        waiting: usize,
+        late: usize,
+        sends: u32,
+    },
+    /// Another entry is given no groups until it is heard again.
+    PeerSuspected { peer: InstanceId },
+    /// Another entry is given groups again.
+    PeerRestored { peer: InstanceId },
     /// A server did not give an answer that counts.
     AttemptFailed {
         request: SmolStr,
@@ -119,6 +175,8 @@
                 | Self::Refused { .. }
                 | Self::CallerGone { .. }
                 | Self::Ejected { .. }
-        ) || matches!(self, Self::Answered { missing, .. } if *missing > 0)
+                | Self::GroupFailed { .. }
+                | Self::PeerSuspected { .. }
+        ) || matches!(self, Self::Answered { missing, .. } | Self::Gathered { missing, .. } if *missing > 0)
     }
 }
--- /dev/null
+++ b/crates/hornbeam_route/src/engine/delegating.rs
@@ -0,0 +1,281 @@
+//! Searches over many shards: groups of shards are given to other entries.
+//!
+//! An entry that sends to every shard itself works for longer than a short objective allows. It gives
+//! groups of shards to other entries of its zone, which send, hedge and merge in parallel.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId, Route, Scatter, ServiceId, Target};
+
+use super::{Delegation, Engine, GroupNews, Output};
+use crate::decision::{Decision, GroupFailure};
+use crate::request::{CellState, Running};
+
+/// Part of the time until the answer is due, in hundredths, kept back for a group's way to this entry
+/// and into the answer.
+const REPORT_PERCENT: u32 = 20;
+/// Part of the time until the answer is due, in hundredths, after which a group that nobody has begun
+/// is taken back, so that its shards still come in time.
+const TAKE_BACK_PERCENT: u32 = 45;
+/// Lateness of this entry from which what it waits for may have come and not been read yet.
+const OWN_LATENESS: Duration = Duration::from_millis(3);
+/// Time kept back for merging the parts of many shards and writing the answer, on a tenth of a core.
+const MERGE_TIME: Duration = Duration::from_millis(3);
+/// Time for which the waits that another entry tells count.
+const TOLD_WAIT_KEPT: Duration = Duration::from_millis(300);
+
+/// A group of shards that another entry collects.
+#[derive(Debug)]
+pub(super) struct GroupFlight {
+    request: QueryId,
+    peer: InstanceId,
+    /// Positions of its shards in the request.
+    cells: Vec<usize>,
+    /// True once the other entry has said that it began.
+    begun: bool,
+    sent_at: Mono,
+}
+
+/// Shards in one group: the work of giving groups away and that of collecting one are about the same.
+pub fn group_size(shards: usize) -> usize {
+    shards.isqrt().max(1)
+}
+
+impl Engine {
+    /// Gives the shards of a search to other entries, if it has many of them; false if this entry
+    /// sends them itself.
+    pub(super) fn delegate(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) -> bool {
+        let Some(running) = self.requests.get(&key) else { return false };
+        let shards = running.cells.len();
+        if shards <= self.params.delegate_above || !running.is_scatter() || running.is_group() {
+            return false;
+        }
+        if self.peers.usable() == 0 {
+            return false;
+        }
+        let Some(running) = self.requests.get_mut(&key) else { return false };
+        running.answer_by = running.answer_by.before(MERGE_TIME).max(now);
+        let cells: Vec<usize> = (0..shards).collect();
+        for (number, group) in cells.chunks(group_size(shards)).enumerate() {
+            // A choice suspects nobody, so that there is one for every group.
+            let Some(peer) = self.peers.choose(number, &mut self.rng) else { continue };
+            self.give_group(now, key, &peer, group, out);
+        }
+        let Some(running) = self.requests.get_mut(&key) else { return true };
+        let time = running.answer_by.since(now) * TAKE_BACK_PERCENT / 100;
+        running.take_back_at = Some(now + time);
+        out.push(Output::Log(Decision::Delegated {
+            request: running.id.clone(),
+            shards,
+            groups: running.groups.len(),
+            peers: self.peers.usable(),
+        }));
+        true
+    }
+
+    fn give_group(
+        &mut self,
+        now: Mono,
+        key: QueryId,
+        peer: &crate::peers::Peer,
+        cells: &[usize],
+        out: &mut Vec<Output>,
+    ) {
+        let Some(running) = self.requests.get_mut(&key) else { return };
+        let group = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        running.groups.push(group);
+        running.sends += cells.len() as u32;
+        for cell in cells {
+            // Until it is known better, each shard was sent to one server.
+            running.cells[*cell].delegate();
+        }
+        let names = cells.iter().map(|c| self.services[running.cells[*c].service].id.clone());
+        let delegation = Delegation {
+            group,
+            request: key,
+            peer: peer.name.clone(),
+            address: peer.address,
+            route: Arc::new(part_of(&running.route, running.limit() as u32, names.collect())),
+            due_in: running.answer_by.since(now) * (100 - REPORT_PERCENT) / 100,
+            left: running.deadline.since(now),
+        };
+        let flight = GroupFlight {
+            request: key,
+            peer: peer.name.clone(),
+            cells: cells.to_vec(),
+            begun: false,
+            sent_at: now,
+        };
+        self.groups.insert(group, flight);
+        out.push(Output::Delegate(delegation));
+    }
+
+    pub(super) fn on_group(
+        &mut self,
+        now: Mono,
+        group: AttemptId,
+        news: GroupNews,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.groups.contains_key(&group) {
+            return out.push(Output::Forget(group));
+        }
+        match news {
+            GroupNews::Begun => self.confirm(group, out),
+            GroupNews::Parts { shards, waits, last } => {
+                self.take_parts(now, group, &shards, &waits, last, out);
+            }
+            GroupNews::Declined => self.end_group(now, group, GroupFailure::Declined, out),
+            GroupNews::Unsent => self.end_group(now, group, GroupFailure::Unreachable, out),
+            GroupNews::Lost => self.end_group(now, group, GroupFailure::Lost, out),
+        }
+    }
+
+    /// Leaves a group to the entry that has begun with it: from now on it is not taken back.
+    fn confirm(&mut self, group: AttemptId, out: &mut Vec<Output>) {
+        let Some(flight) = self.groups.get_mut(&group) else { return };
+        flight.begun = true;
+        if let Some(running) = self.requests.get_mut(&flight.request) {
+            let max_attempts = running.route.max_attempts;
+            for cell in &flight.cells {
+                running.cells[*cell].confirm_group(max_attempts);
+            }
+        }
+        out.push(Output::ConfirmGroup(group));
+    }
+
+    /// Brings parts of a group into its request. `shards` are positions within the group.
+    fn take_parts(
+        &mut self,
+        now: Mono,
+        group: AttemptId,
+        shards: &[usize],
+        waits: &[(usize, Duration)],
+        last: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(flight) = self.groups.get(&group) else { return };
+        let (key, cells) = (flight.request, flight.cells.clone());
+        self.hear_peer(&flight.peer.clone(), out);
+        let Some(running) = self.requests.get_mut(&key) else { return };
+        for cell in shards.iter().filter_map(|s| cells.get(*s)) {
+            let cell = &mut running.cells[*cell];
+            if cell.state == CellState::Open {
+                cell.state = CellState::In(group);
+                running.parts += 1;
+            }
+        }
+        for (shard, wait) in waits {
+            let Some(cell) = cells.get(*shard) else { continue };
+            let service = running.cells[*cell].service;
+            self.services[service].told_wait = Some((*wait, now + TOLD_WAIT_KEPT));
+        }
+        if last {
+            self.forget_group(group);
+            for cell in cells {
+                let open = |r: &Running| r.cells[cell].state == CellState::Open;
+                if self.requests.get(&key).is_some_and(open) {
+                    self.set_lacking(key, cell);
+                }
+            }
+        }
+        self.settle(now, key, out);
+    }
+
+    /// Takes a group out of its request; the shards that are not in yet are sent from here.
+    fn end_group(&mut self, now: Mono, group: AttemptId, why: GroupFailure, out: &mut Vec<Output>) {
+        let Some(flight) = self.forget_group(group) else { return };
+        self.suspect_peer(now, &flight.peer, out);
+        let key = flight.request;
+        let Some(running) = self.requests.get_mut(&key) else { return };
+        let open: Vec<usize> = flight
+            .cells
+            .iter()
+            .copied()
+            .filter(|c| running.cells[*c].state == CellState::Open)
+            .collect();
+        for cell in &open {
+            running.cells[*cell].take_back(why.has_not_run());
+        }
+        out.push(Output::Log(Decision::GroupFailed {
+            request: running.id.clone(),
+            peer: flight.peer,
+            reason: why,
+            after_ms: now.since(flight.sent_at).as_millis() as u64,
+            shards: flight.cells.len(),
+            sent_from_here: open.len(),
+        }));
+        for cell in open {
+            self.try_again(now, key, cell, out);
+        }
+        self.settle(now, key, out);
+        self.arm(key);
+    }
+
+    fn forget_group(&mut self, group: AttemptId) -> Option<GroupFlight> {
+        let flight = self.groups.remove(&group)?;
+        self.peers.note_back(&flight.peer);
+        if let Some(running) = self.requests.get_mut(&flight.request) {
+            running.groups.retain(|g| *g != group);
+        }
+        Some(flight)
+    }
+
+    /// Takes back the groups of a request that nobody has begun.
+    pub(super) fn take_back(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
+        let Some(running) = self.requests.get_mut(&key) else { return };
+        if running.take_back_at.is_none_or(|at| at > now) {
+            return;
+        }
+        if running.take_back_at.is_some_and(|at| now.since(at) >= OWN_LATENESS) {
+            running.take_back_at = Some(now + OWN_LATENESS);
+            return;
+        }
+        running.take_back_at = None;
+        for group in running.groups.clone() {
+            if self.groups.get(&group).is_some_and(|g| !g.begun) {
+                out.push(Output::CancelGroup(group));
+                self.end_group(now, group, GroupFailure::NotBegun, out);
+            }
+        }
+    }
+
+    /// Tells the entries that still collect for a request that has ended.
+    pub(super) fn cancel_groups(&mut self, running: &Running, out: &mut Vec<Output>) {
+        for group in &running.groups {
+            self.forget_group(*group);
+            out.push(Output::CancelGroup(*group));
+        }
+    }
+
+    fn suspect_peer(&mut self, now: Mono, peer: &InstanceId, out: &mut Vec<Output>) {
+        if self.peers.suspect(now, peer) {
+            out.push(Output::Log(Decision::PeerSuspected { peer: peer.clone() }));
+        }
+    }
+
+    pub(super) fn on_peer_leaving(&mut self, now: Mono, peer: &InstanceId, out: &mut Vec<Output>) {
+        self.suspect_peer(now, peer, out);
+    }
+
+    /// Notes that another entry was heard.
+    pub(super) fn hear_peer(&mut self, peer: &InstanceId, out: &mut Vec<Output>) {
+        if self.peers.hear(peer) {
+            out.push(Output::Log(Decision::PeerRestored { peer: peer.clone() }));
+        }
+    }
+
+    pub(super) fn probe_peers(&mut self, now: Mono, out: &mut Vec<Output>) {
+        for peer in self.peers.take_probes(now) {
+            out.push(Output::ProbePeer { peer: peer.name, address: peer.address });
+        }
+    }
+}
+
+/// The route for a group of its shards: whatever comes of them is of use.
+fn part_of(route: &Route, limit: u32, shards: Vec<ServiceId>) -> Route {
+    let target = Target::Scatter(Scatter { shards, limit, min_covered_ppm: 0 });
+    Route { target, ..route.clone() }
+}
--- a/crates/hornbeam_route/src/engine/finish.rs
+++ b/crates/hornbeam_route/src/engine/finish.rs
@@ -1,6 +1,7 @@
 //! Answers and refusals.
 
-use hornbeam_model::{Mono, QueryId, Target};
+use hornbeam_model::{AttemptId, Mono, QueryId, Target};
+use indexmap::IndexSet;
 
 use super::{Engine, Output, Verdict};
 use crate::decision::Decision;
@@ -10,6 +11,9 @@
     /// Ends a request if nothing that is still out is worth waiting for.
     pub(super) fn settle(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
+        if running.is_group() {
+            return self.settle_group(now, key, out);
+        }
         let open = |doubtful: bool| {
             let cells = running.cells.iter();
             cells.filter(|c| c.state == CellState::Open && c.doubtful == doubtful).count()
@@ -29,6 +33,10 @@
     /// could be sent. True if the request ended.
     pub(super) fn on_answer_due(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) -> bool {
         let Some(running) = self.requests.get(&key) else { return true };
+        if running.is_group() {
+            self.settle_group(now, key, out);
+            return !self.requests.contains_key(&key);
+        }
         if running.parts >= running.min_parts {
             self.answer(now, key, out);
             return true;
@@ -43,6 +51,9 @@
     /// The time of a request is up.
     pub(super) fn give_up(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
+        if running.is_group() {
+            return self.end_gathering(now, key, out);
+        }
         if running.parts >= running.min_parts {
             return self.answer(now, key, out);
         }
@@ -52,8 +63,9 @@
     }
 
     fn answer(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
-        let Some(running) = self.drop_request(now, key) else { return };
-        let attempts: Vec<_> = running
+        let Some(running) = self.drop_request(now, key, out) else { return };
+        // A group stands for all its shards that are in.
+        let attempts: IndexSet<AttemptId> = running
             .cells
             .iter()
             .filter_map(|c| match c.state {
@@ -61,7 +73,8 @@
                 CellState::Open | CellState::Lacking => None,
             })
             .collect();
-        let missing = running.cells.len() - attempts.len();
+        let attempts: Vec<AttemptId> = attempts.into_iter().collect();
+        let missing = running.cells.len() - running.parts;
         for cell in &running.cells {
             out.extend(cell.failure.map(Output::Forget));
         }
@@ -70,16 +83,14 @@
             request: running.id.clone(),
             route: running.route.name.clone(),
             took_ms: now.since(running.arrived).as_millis() as u64,
-            parts: attempts.len(),
+            parts: running.parts,
             missing,
-            waiting: open.clone().filter(|c| c.flights.is_empty()).count(),
-            late: open.filter(|c| !c.flights.is_empty()).count(),
+            waiting: open.clone().filter(|c| c.is_waiting()).count(),
+            late: open.filter(|c| !c.is_waiting()).count(),
             sends: running.sends,
         }));
         let verdict = match &running.route.target {
-            Target::Scatter(scatter) => {
-                Verdict::Merge { attempts, missing, limit: scatter.limit as usize }
-            }
+            Target::Scatter(_) => Verdict::Merge { attempts, missing, limit: running.limit() },
             Target::Single(_) | Target::Split(_) => match attempts.first() {
                 Some(attempt) => Verdict::Forward(*attempt),
                 None => return,
@@ -95,7 +106,7 @@
         let failure = running.cells.first().and_then(|c| c.failure);
         if let Some(attempt) = failure.filter(|_| !running.is_scatter()) {
             let verdict = Verdict::Forward(attempt);
-            if let Some(running) = self.drop_request(now, key) {
+            if let Some(running) = self.drop_request(now, key, out) {
                 self.log_refusal(now, &running, RefusalKind::Failed, None, out);
             }
             return out.push(Output::Finish { request: key, verdict });
@@ -105,7 +116,7 @@
     }
 
     fn refuse(&mut self, now: Mono, key: QueryId, kind: RefusalKind, out: &mut Vec<Output>) {
-        let Some(running) = self.drop_request(now, key) else { return };
+        let Some(running) = self.drop_request(now, key, out) else { return };
         for cell in &running.cells {
             if let CellState::In(attempt) = cell.state {
                 out.push(Output::Forget(attempt));
@@ -141,7 +152,7 @@
     }
 
     pub(super) fn on_caller_gone(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
-        let Some(running) = self.drop_request(now, key) else { return };
+        let Some(running) = self.drop_request(now, key, out) else { return };
         for cell in &running.cells {
             if let CellState::In(attempt) = cell.state {
                 out.push(Output::Forget(attempt));
@@ -156,11 +167,17 @@
     }
 
     /// Takes a request out; its attempts linger.
-    fn drop_request(&mut self, now: Mono, key: QueryId) -> Option<Running> {
+    pub(super) fn drop_request(
+        &mut self,
+        now: Mono,
+        key: QueryId,
+        out: &mut Vec<Output>,
+    ) -> Option<Running> {
         for cell in 0..self.requests.get(&key)?.cells.len() {
             self.stop_waiting(key, cell);
         }
         let running = self.requests.remove(&key)?;
+        self.cancel_groups(&running, out);
         for attempt in running.cells.iter().flat_map(|c| &c.flights) {
             self.let_linger(now, *attempt, running.route.idempotent);
         }
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -73,6 +73,9 @@
     fn hedge_cell(&mut self, now: Mono, key: QueryId, cell: usize, out: &mut Vec<Output>) -> bool {
         let Some(running) = self.requests.get(&key) else { return true };
         let c = &running.cells[cell];
+        if c.runs >= running.allowed_attempts() {
+            return false;
+        }
         let (service, used) = (c.service, c.used.clone());
         let (request, due) = (running.id.clone(), running.answer_by);
         let Pick::Server(server, cost) = self.pick(now, service, &used, due) else { return false };
--- a/crates/hornbeam_route/src/engine/intake.rs
+++ b/crates/hornbeam_route/src/engine/intake.rs
@@ -37,6 +37,7 @@
     pub host: SmolStr,
     pub path: SmolStr,
     pub wait: Option<Duration>,
+    pub opened_connection: bool,
 }
 
 impl Engine {
@@ -66,18 +67,25 @@
             table: table.version,
             arrived: now,
             deadline: now + patience,
-            answer_by: answer_by(now, route.objective().min(patience)),
+            answer_by: answer_by(now, route.objective().min(patience), arrival.opened_connection),
             cells: services.into_iter().map(Cell::new).collect(),
             parts: 0,
             min_parts,
             sends: 0,
             overdue: false,
             armed: Mono::MAX,
+            groups: Vec::new(),
+            take_back_at: None,
+            untold: None,
+            confirmed: true,
             route,
         };
         let key = running.key;
         self.requests.insert(key, running);
-        self.place_all(now, key, out);
+        self.probe_peers(now, out);
+        if !self.delegate(now, key, out) {
+            self.place_all(now, key, out);
+        }
         self.log_admission(now, key, out);
         self.settle(now, key, out);
         self.arm(key);
@@ -122,8 +130,8 @@
                 continue;
             }
             reachable += 1;
-            let places: u32 = service.servers.iter().map(|s| self.servers[*s].limit()).sum();
-            let wait = service.expected_wait(route.priority, places.min(service.limit()));
+            let told = service.told_wait.filter(|(_, until)| now < *until).map(|(wait, _)| wait);
+            let wait = self.wait_at(*position, route.priority).max(told.unwrap_or_default());
             if wait <= longest_wait(route, service.mean()) {
                 in_time += 1;
             } else {
@@ -140,6 +148,13 @@
         None
     }
 
+    /// Expected wait for room at the servers of a service.
+    pub(super) fn wait_at(&self, service: usize, priority: u8) -> Duration {
+        let service = &self.services[service];
+        let places: u32 = service.servers.iter().map(|s| self.servers[*s].limit()).sum();
+        service.expected_wait(priority, places.min(service.limit()))
+    }
+
     /// How long all servers of a service are avoided, if they are.
     fn all_avoided(&self, now: Mono, service: usize) -> Option<Duration> {
         let servers = self.services[service].servers.iter();
@@ -197,10 +212,7 @@
             deadline_ms: running.deadline.since(now).as_millis() as u64,
             shards: running.cells.len(),
             sent: cells.clone().filter(|c| !c.flights.is_empty()).count(),
-            waiting: cells
-                .clone()
-                .filter(|c| c.state == CellState::Open && c.flights.is_empty())
-                .count(),
+            waiting: cells.clone().filter(|c| c.is_waiting()).count(),
             lacking: cells.filter(|c| c.state == CellState::Lacking).count(),
         }));
     }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -5,10 +5,14 @@
 //! - [`outcome`]: what attempts bring back
 //! - [`hedging`]: second attempts for late shards
 //! - [`finish`]: answers and refusals
+//! - [`delegating`]: groups of shards that other entries collect
+//! - [`gathering`]: groups of shards that this entry collects for others
 //! - [`fleet`]: servers, tables and the number of entries
 
+mod delegating;
 mod finish;
 mod fleet;
+mod gathering;
 mod hedging;
 mod intake;
 mod outcome;
@@ -21,7 +25,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, Mono, QueryId, RouteId, RouteIndex, Routing, ServerId, ServiceId, Zone,
+    AttemptId, Incarnation, InstanceId, Mono, QueryId, Route, RouteId, RouteIndex, Routing,
+    ServerId, ServiceId, Zone,
 };
 use hornbeam_traffic::latency::LatencyWindow;
 use indexmap::IndexMap;
@@ -29,8 +34,11 @@
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
 
+pub use self::delegating::group_size;
+pub use self::gathering::GroupRequest;
 use crate::budget::BudgetParams;
 use crate::decision::{Decision, SendKind};
+use crate::peers::{Peer, Peers};
 use crate::request::{Refusal, Running};
 use crate::server::Server;
 use crate::service::Service;
@@ -48,6 +56,8 @@
     /// Time for which an attempt that nobody waits for may go on, so that its connection can be used
     /// again, before it is broken off.
     pub linger: Duration,
+    /// Shards of a search above which other entries collect groups of them.
+    pub delegate_above: usize,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -107,6 +117,8 @@
         path: SmolStr,
         /// How long the caller waits, if it said so.
         wait: Option<Duration>,
+        /// True if it is the first on its caller's connection.
+        opened_connection: bool,
     },
     /// The caller of a request is gone.
     CallerGone(QueryId),
@@ -125,10 +137,70 @@
     Entries(u32),
     /// What other entries have found out.
     Hearsay(Vec<ServerTrouble>),
+    /// The other entries of the own zone.
+    Peers(Vec<Peer>),
+    /// Another entry was heard.
+    PeerHeard(InstanceId),
+    /// Another entry takes no more groups.
+    PeerLeaving(InstanceId),
+    /// Something became of a group that another entry collects.
+    Group {
+        /// The group.
+        group: AttemptId,
+        /// What.
+        news: GroupNews,
+    },
+    /// Another entry asks for a group of shards.
+    Gather(GroupRequest),
+    /// The entry that asked for a group leaves it to this one.
+    GatherConfirmed(QueryId),
+    /// Another entry needs a group no longer.
+    GatherCancelled(QueryId),
     /// Time has passed.
     Tick,
 }
 
+/// What becomes of a group that another entry collects.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GroupNews {
+    /// The other entry has begun with it.
+    Begun,
+    /// Parts of it.
+    Parts {
+        /// Positions within the group of the shards that are in with this.
+        shards: Vec<usize>,
+        /// Positions of shards whose queue is not empty, and the expected wait.
+        waits: Vec<(usize, Duration)>,
+        /// True if nothing more comes.
+        last: bool,
+    },
+    /// The other entry does not take it; nothing ran.
+    Declined,
+    /// The other entry cannot be reached; nothing ran.
+    Unsent,
+    /// The connection broke; it may have run.
+    Lost,
+}
+
+/// A group of shards given to another entry.
+#[derive(Clone, Debug)]
+pub struct Delegation {
+    /// Names the group.
+    pub group: AttemptId,
+    /// The request.
+    pub request: QueryId,
+    /// The other entry.
+    pub peer: InstanceId,
+    /// Where it takes groups.
+    pub address: SocketAddr,
+    /// The route, with the shards of the group only.
+    pub route: Arc<Route>,
+    /// Time until its parts are due.
+    pub due_in: Duration,
+    /// Time left for the request.
+    pub left: Duration,
+}
+
 /// What became of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -186,7 +258,7 @@
     Forward(AttemptId),
     /// The answers of these attempts are merged.
     Merge {
-        /// The attempts, one for each shard that is in.
+        /// The attempts and groups whose parts are in.
         attempts: Vec<AttemptId>,
         /// Shards that are left out.
         missing: usize,
@@ -204,8 +276,36 @@
     Send(Send),
     /// Break off an attempt.
     BreakOff(AttemptId),
-    /// Nobody needs what this attempt brought.
+    /// Nobody needs what this attempt or group brought.
     Forget(AttemptId),
+    /// Give a group of shards to another entry.
+    Delegate(Delegation),
+    /// Tell another entry that it may send the shards of a group as often as is allowed.
+    ConfirmGroup(AttemptId),
+    /// Tell another entry that a group is not needed any more.
+    CancelGroup(AttemptId),
+    /// Ask another entry whether it is back.
+    ProbePeer {
+        /// The entry.
+        peer: InstanceId,
+        /// Where it takes groups.
+        address: SocketAddr,
+    },
+    /// Tell the entry that asked for a group what is in.
+    Parts {
+        /// The group.
+        request: QueryId,
+        /// Positions within the group and the attempts that brought their parts.
+        parts: Vec<(usize, AttemptId)>,
+        /// Positions of shards whose queue is not empty, and the expected wait.
+        waits: Vec<(usize, Duration)>,
+        /// Records in the merged answer.
+        limit: usize,
+        /// True if nothing more comes.
+        last: bool,
+    },
+    /// Tell the entry that asked for a group that it is not taken.
+    Decline(QueryId),
     /// Tell the caller.
     Finish {
         /// The request.
@@ -268,6 +368,8 @@
     entries: u32,
     requests: HashMap<QueryId, Running>,
     flights: HashMap<AttemptId, Flight>,
+    peers: Peers,
+    groups: HashMap<AttemptId, delegating::GroupFlight>,
     next_attempt: u64,
     timers: BinaryHeap<Reverse<(Mono, Timer)>>,
     counters: Counters,
@@ -294,6 +396,8 @@
             entries: ASSUMED_ENTRIES,
             requests: HashMap::new(),
             flights: HashMap::new(),
+            peers: Peers::default(),
+            groups: HashMap::new(),
             next_attempt: 1,
             timers: BinaryHeap::new(),
             counters: Counters::default(),
@@ -304,8 +408,9 @@
     /// Takes one input and appends what it leads to.
     pub fn step(&mut self, now: Mono, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Request { key, id, host, path, wait } => {
-                self.on_request(now, intake::Arrival { key, id, host, path, wait }, out);
+            Input::Request { key, id, host, path, wait, opened_connection } => {
+                let arrival = intake::Arrival { key, id, host, path, wait, opened_connection };
+                self.on_request(now, arrival, out);
             }
             Input::CallerGone(key) => self.on_caller_gone(now, key, out),
             Input::Reply { attempt, outcome } => self.on_reply(now, attempt, outcome, out),
@@ -313,6 +418,13 @@
             Input::Table(table) => self.on_table(table, out),
             Input::Entries(entries) => self.on_entries(entries),
             Input::Hearsay(told) => self.on_hearsay(now, &told),
+            Input::Peers(peers) => self.peers.replace(peers),
+            Input::PeerHeard(peer) => self.hear_peer(&peer, out),
+            Input::PeerLeaving(peer) => self.on_peer_leaving(now, &peer, out),
+            Input::Group { group, news } => self.on_group(now, group, news, out),
+            Input::Gather(asked) => self.on_gather(now, asked, out),
+            Input::GatherConfirmed(key) => self.on_gather_confirmed(now, key, out),
+            Input::GatherCancelled(key) => self.on_gather_cancelled(now, key, out),
             Input::Tick => {}
         }
         self.run_timers(now, out);
@@ -377,6 +489,8 @@
         if now >= running.deadline {
             return self.give_up(now, key, out);
         }
+        self.take_back(now, key, out);
+        let Some(running) = self.requests.get_mut(&key) else { return };
         if now >= running.answer_by && !running.overdue {
             running.overdue = true;
             self.note_overdue(now, key, out);
--- a/crates/hornbeam_route/src/engine/outcome.rs
+++ b/crates/hornbeam_route/src/engine/outcome.rs
@@ -124,6 +124,9 @@
             cell.state = CellState::In(attempt);
             cell.hedge_at = None;
             running.parts += 1;
+            if let Some(untold) = &mut running.untold {
+                untold.push((flight.cell, attempt));
+            }
             let losers = std::mem::take(&mut cell.flights);
             let failure = cell.failure.take();
             let idempotent = running.route.idempotent;
@@ -164,17 +167,29 @@
 
     /// Sends a shard once more after a failure, if that is allowed and no other attempt is out; marks
     /// it as lacking if nothing can come any more.
-    fn try_again(&mut self, now: Mono, key: QueryId, cell: usize, out: &mut Vec<Output>) -> bool {
+    pub(super) fn try_again(
+        &mut self,
+        now: Mono,
+        key: QueryId,
+        cell: usize,
+        out: &mut Vec<Output>,
+    ) -> bool {
         let Some(running) = self.requests.get(&key) else { return false };
         let c = &running.cells[cell];
         if c.state != CellState::Open || !c.flights.is_empty() {
             return false;
         }
         let may_run = if running.route.idempotent {
-            c.runs < running.route.max_attempts
+            c.runs < running.allowed_attempts()
         } else {
             c.runs == 0
         };
+        if !may_run && !running.confirmed {
+            if let Some(running) = self.requests.get_mut(&key) {
+                running.cells[cell].held = true;
+            }
+            return false;
+        }
         let allowed = may_run && c.sends < super::placing::MAX_SENDS && now < running.deadline;
         if allowed && self.place(now, key, cell, out) {
             return true;
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -10,22 +10,25 @@
 //! - [`split`]: requests in proportion to weights
 //! - [`merge`]: records of many parts into one ranking
 //! - [`decision`]: what was decided and why, for the log
+//! - [`peers`]: other entries, and which of them collects which group of shards
 //! - [`engine`]: all requests of one entry, `step(now, input) -> outputs`
 
 pub mod budget;
 pub mod decision;
 pub mod engine;
 pub mod merge;
+pub mod peers;
 pub mod request;
 pub mod server;
 pub mod service;
 pub mod split;
 
 pub use budget::{BudgetParams, ExtraWindow};
-pub use decision::{Decision, SendKind};
+pub use decision::{Decision, GroupFailure, SendKind};
 pub use engine::{
-    Counters, Engine, EngineParams, Input, Outcome, Output, Send, ServerChange, ServerTrouble,
-    Verdict,
+    Counters, Delegation, Engine, EngineParams, GroupNews, GroupRequest, Input, Outcome, Output,
+    Send, ServerChange, ServerTrouble, Verdict, group_size,
 };
 pub use merge::merge_records;
+pub use peers::{Peer, Peers};
 pub use request::{Refusal, RefusalKind};
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-/// Fixed part of the time kept back for an answer's way to its caller.
-const MARGIN_FIXED: Duration = Duration::from_millis(6);
+/// Time kept back for the way of a request from its caller and of the answer back.
+const ROUND_TRIP: Duration = Duration::from_millis(6);
 /// Part of the objective kept back beside it, as a divisor.
 const MARGIN_DIVISOR: u32 = 10;
 
@@ -51,7 +51,7 @@
 pub enum CellState {
     /// Waits for room, or attempts are out.
     Open,
-    /// This attempt's answer counts.
+    /// The answer of this attempt, or of this group, counts.
     In(AttemptId),
     /// Nothing can come any more.
     Lacking,
@@ -78,6 +78,10 @@
     pub hedge_at: Option<Mono>,
     /// True if its servers have failed so that its answer is not waited for.
     pub doubtful: bool,
+    /// True while another entry collects it.
+    pub delegated: bool,
+    /// True if it is sent again once the entry that asked for its group has confirmed it.
+    pub held: bool,
     /// The last complete answer that does not count, handed on if none better comes.
     pub failure: Option<AttemptId>,
 }
@@ -95,9 +99,39 @@
             flights: Vec::new(),
             hedge_at: None,
             doubtful: false,
+            delegated: false,
+            held: false,
             failure: None,
         }
     }
+
+    /// True if it waits for room at a server.
+    pub fn is_waiting(&self) -> bool {
+        self.state == CellState::Open && self.flights.is_empty() && !self.delegated && !self.held
+    }
+
+    /// Notes that another entry collects it, and has sent it to a server for all that is known.
+    pub fn delegate(&mut self) {
+        self.delegated = true;
+        self.runs += 1;
+        self.arrivals += 1;
+        self.sends += 1;
+    }
+
+    /// Notes that the other entry may send it to all servers that are allowed.
+    pub fn confirm_group(&mut self, max_attempts: u32) {
+        self.runs = max_attempts.max(1);
+    }
+
+    /// Notes that no other entry collects it any more.
+    pub fn take_back(&mut self, has_not_run: bool) {
+        self.delegated = false;
+        if has_not_run {
+            self.runs = 0;
+            self.arrivals -= 1;
+            self.sends -= 1;
+        }
+    }
 }
 
 /// One running request.
@@ -129,6 +163,16 @@
     pub overdue: bool,
     /// When its timer is set.
     pub armed: Mono,
+    /// Groups of its shards that other entries collect.
+    pub groups: Vec<AttemptId>,
+    /// When groups that nobody has begun are taken back.
+    pub take_back_at: Option<Mono>,
+    /// Shards that are in and not told yet, with their attempts; only for a group that this entry
+    /// collects for another one.
+    pub untold: Option<Vec<(usize, AttemptId)>>,
+    /// False for a group until the entry that asked has confirmed that it was not taken back: until then
+    /// each shard goes to one server only, since that entry may send it to another.
+    pub confirmed: bool,
 }
 
 impl Running {
@@ -137,6 +181,24 @@
         matches!(self.route.target, Target::Scatter(_))
     }
 
+    /// Servers that each shard may be sent to now.
+    pub fn allowed_attempts(&self) -> u32 {
+        if self.confirmed { self.route.max_attempts } else { 1.min(self.route.max_attempts) }
+    }
+
+    /// Records in its merged answer.
+    pub fn limit(&self) -> usize {
+        match &self.route.target {
+            Target::Scatter(scatter) => scatter.limit as usize,
+            Target::Single(_) | Target::Split(_) => 0,
+        }
+    }
+
+    /// True if it is a group that this entry collects for another one.
+    pub fn is_group(&self) -> bool {
+        self.untold.is_some()
+    }
+
     /// True if some attempt ran or may have run.
     pub fn may_have_run(&self) -> bool {
         self.cells.iter().any(|c| c.runs > 0)
@@ -146,6 +208,7 @@
     pub fn next_wake(&self) -> Mono {
         let hedges = self.cells.iter().filter_map(|c| c.hedge_at).min();
         let mut wake = self.deadline.min(hedges.unwrap_or(Mono::MAX));
+        wake = wake.min(self.take_back_at.unwrap_or(Mono::MAX));
         if !self.overdue {
             wake = wake.min(self.answer_by);
         }
@@ -153,8 +216,10 @@
     }
 }
 
-/// When an answer must leave to be within the objective of a request that arrived at `arrived`.
-pub fn answer_by(arrived: Mono, objective: Duration) -> Mono {
-    let margin = MARGIN_FIXED + objective / MARGIN_DIVISOR;
+/// When an answer must leave to be within the objective of a request that arrived at `arrived`. A caller
+/// that had to open a connection has waited for one more round trip.
+pub fn answer_by(arrived: Mono, objective: Duration, opened_connection: bool) -> Mono {
+    let round_trips = if opened_connection { 2 } else { 1 };
+    let margin = ROUND_TRIP * round_trips + objective / MARGIN_DIVISOR;
     arrived + objective.saturating_sub(margin)
 }
--- a/crates/hornbeam_route/src/service.rs
+++ b/crates/hornbeam_route/src/service.rs
@@ -47,6 +47,8 @@
     pub outstanding: u32,
     /// Limits the attempts out by their latency: more would only wait at the servers.
     limiter: Limiter,
+    /// Wait that another entry tells, and until when it counts.
+    pub told_wait: Option<(Duration, Mono)>,
     mean: Option<Duration>,
 }
 
@@ -62,6 +64,7 @@
             standing: false,
             outstanding: 0,
             limiter: Limiter::new(MAX_OUTSTANDING),
+            told_wait: None,
             mean: None,
         }
     }
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, Mono, QueryId, Route, RoutedService, Routing, Scatter, ServerId,
-    ServiceId, TableVersion, Target,
+    AttemptId, Incarnation, InstanceId, Mono, QueryId, Route, RoutedService, Routing, Scatter,
+    ServerId, ServiceId, TableVersion, Target,
 };
 use hornbeam_route::{
-    BudgetParams, Decision, Engine, EngineParams, Input, Outcome, Output, ServerChange, Verdict,
+    BudgetParams, Decision, Delegation, Engine, EngineParams, GroupNews, GroupRequest, Input,
+    Outcome, Output, Peer, ServerChange, Verdict,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -62,10 +63,37 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Request(usize),
+    /// A request on a route at an entry.
+    Arrive(usize, usize),
     Reach(usize, Sent, QueryId),
     Done(usize, Sent),
     Reply(Sent, u8),
     Wake(usize),
+    /// A message of another entry, by its number.
+    Told(usize, u64),
+}
+
+/// What entries tell each other.
+#[derive(Clone, Debug)]
+enum Told {
+    Gather(usize, Delegation),
+    Cancel(usize, AttemptId),
+    Confirm(usize, AttemptId),
+    Group(AttemptId, GroupNews),
+    Heard(usize),
+    Leaving(usize),
+    Probe(usize),
+}
+
+/// What an entry is like.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum EntryFault {
+    /// Works as it should.
+    None,
+    /// Does nothing, and nothing shows it.
+    Frozen,
+    /// Takes no groups.
+    Leaving,
 }
 
 /// How a request ended.
@@ -89,7 +117,19 @@
     paths: Vec<String>,
     routes: Vec<Route>,
     by_name: BTreeMap<ServerId, usize>,
+    /// Servers of each service that took a caller's request.
+    taken: HashMap<(QueryId, String), HashSet<usize>>,
+    /// The caller's request of each group.
+    roots: HashMap<QueryId, QueryId>,
     asked: HashMap<QueryId, (usize, Mono)>,
+    /// Work of an entry for each input and each message that it sends.
+    pub entry_work: Duration,
+    pub entry_faults: Vec<EntryFault>,
+    busy_until: Vec<Mono>,
+    told: HashMap<u64, Told>,
+    /// Groups by the key that they have at the entry that collects them.
+    gathers: HashMap<QueryId, (usize, AttemptId)>,
+    delegations: HashMap<(usize, AttemptId), (usize, QueryId)>,
     broken: HashSet<Sent>,
     events: BinaryHeap<Reverse<(Mono, u64, Event)>>,
     seq: u64,
@@ -132,6 +172,14 @@
     name.parse().unwrap()
 }
 
+fn entry_name(entry: usize) -> InstanceId {
+    format!("e{entry}").parse().unwrap()
+}
+
+fn entry_number(name: &InstanceId) -> usize {
+    name.as_str()[1..].parse().unwrap()
+}
+
 /// The budget of the users' deployments of today.
 pub fn budget() -> BudgetParams {
     BudgetParams { percent: 20, window: Duration::from_secs(10), allowance: 58 }
@@ -149,6 +197,7 @@
         let params = |i: usize| EngineParams {
             zone: ["olomouc", "prerov"][i % 2].parse().unwrap(),
             budget: budget(),
+            delegate_above: 32,
             max_running: 1_000,
             linger: Duration::from_millis(300),
             seed: seed + i as u64,
@@ -163,7 +212,15 @@
             work,
             paths: routes.iter().map(|r| format!("{}x", r.prefix)).collect(),
             by_name: BTreeMap::new(),
+            taken: HashMap::new(),
+            roots: HashMap::new(),
             asked: HashMap::new(),
+            entry_work: Duration::ZERO,
+            entry_faults: vec![EntryFault::None; entries],
+            busy_until: vec![Mono::default(); entries],
+            told: HashMap::new(),
+            gathers: HashMap::new(),
+            delegations: HashMap::new(),
             broken: HashSet::new(),
             events: BinaryHeap::new(),
             seq: 0,
@@ -287,10 +344,49 @@
         self.now = until;
     }
 
+    /// Tells every entry of the others in its zone.
+    pub fn introduce(&mut self) {
+        for entry in 0..self.engines.len() {
+            let others = (0..self.engines.len()).filter(|o| *o != entry && o % 2 == entry % 2);
+            let peers = others.map(|o| Peer {
+                name: entry_name(o),
+                address: "127.0.0.1:1".parse().unwrap(),
+                zone: ["olomouc", "prerov"][o % 2].parse().unwrap(),
+            });
+            let peers = peers.collect();
+            self.step(entry, Input::Peers(peers));
+        }
+    }
+
+    /// The entry that an event is for, if it needs its processor.
+    fn entry_of(&self, event: Event) -> Option<usize> {
+        match event {
+            Event::Arrive(_, entry) | Event::Wake(entry) | Event::Told(entry, _) => Some(entry),
+            Event::Reply((entry, _), _) => Some(entry),
+            Event::Request(_) | Event::Reach(..) | Event::Done(..) => None,
+        }
+    }
+
     fn take(&mut self, event: Event) {
+        if let Some(entry) = self.entry_of(event) {
+            if self.entry_faults[entry] == EntryFault::Frozen {
+                return;
+            }
+            if self.busy_until[entry] > self.now {
+                return self.queue(self.busy_until[entry], event);
+            }
+        }
         match event {
             Event::Request(route) => {
-                self.request(route);
+                let entry = self.rng.random_range(0..self.engines.len());
+                self.take(Event::Arrive(route, entry));
+            }
+            Event::Arrive(route, entry) => {
+                self.request_at(route, entry);
+            }
+            Event::Told(entry, number) => {
+                let told = self.told.remove(&number).expect("it comes once");
+                self.hear(entry, told);
             }
             Event::Reach(server, attempt, key) => self.reach(server, attempt, key),
             Event::Done(server, attempt) => self.done(server, attempt),
@@ -307,7 +403,7 @@
                 }
             }
             Event::Wake(entry) => {
-                if self.wake_at[entry] == Some(self.now) {
+                if self.wake_at[entry].is_some_and(|at| at <= self.now) {
                     self.wake_at[entry] = None;
                     self.step(entry, Input::Tick);
                 }
@@ -315,19 +411,111 @@
         }
     }
 
+    fn tell(&mut self, entry: usize, from: usize, told: Told) {
+        let number = self.seq;
+        self.told.insert(number, told);
+        let at = self.busy_until[from].max(self.now) + WAY;
+        self.queue(at, Event::Told(entry, number));
+    }
+
+    /// Another entry tells something.
+    fn hear(&mut self, entry: usize, told: Told) {
+        match told {
+            Told::Gather(from, delegation) => self.gather(entry, from, delegation),
+            Told::Cancel(from, group) => {
+                if let Some((_, key)) = self.delegations.remove(&(from, group)) {
+                    self.gathers.remove(&key);
+                    self.asked.remove(&key);
+                    self.step(entry, Input::GatherCancelled(key));
+                }
+            }
+            Told::Confirm(from, group) => {
+                if let Some((_, key)) = self.delegations.get(&(from, group)).copied() {
+                    self.step(entry, Input::GatherConfirmed(key));
+                }
+            }
+            Told::Group(group, news) => self.step(entry, Input::Group { group, news }),
+            Told::Heard(from) => self.step(entry, Input::PeerHeard(entry_name(from))),
+            Told::Leaving(from) => self.step(entry, Input::PeerLeaving(entry_name(from))),
+            Told::Probe(from) if self.entry_faults[entry] == EntryFault::Leaving => {
+                self.tell(from, entry, Told::Leaving(entry));
+            }
+            Told::Probe(from) => self.tell(from, entry, Told::Heard(entry)),
+        }
+    }
+
+    fn gather(&mut self, entry: usize, from: usize, delegation: Delegation) {
+        let group = delegation.group;
+        if self.entry_faults[entry] == EntryFault::Leaving {
+            return self.tell(from, entry, Told::Group(group, GroupNews::Declined));
+        }
+        let key = QueryId(self.next_key);
+        self.next_key += 1;
+        let route = self.asked.get(&delegation.request).copied();
+        self.asked.insert(key, route.unwrap_or((0, self.now)));
+        self.gathers.insert(key, (from, group));
+        self.roots.insert(key, delegation.request);
+        self.delegations.insert((from, group), (entry, key));
+        self.tell(from, entry, Told::Group(group, GroupNews::Begun));
+        let asked = GroupRequest {
+            key,
+            id: format!("r{}", delegation.request).into(),
+            route: delegation.route,
+            due_in: delegation.due_in,
+            left: delegation.left,
+        };
+        self.step(entry, Input::Gather(asked));
+    }
+
     /// Sends one request now.
     pub fn request(&mut self, route: usize) -> QueryId {
+        let entry = self.rng.random_range(0..self.engines.len());
+        self.request_at(route, entry)
+    }
+
+    /// The caller of a request leaves.
+    pub fn leave(&mut self, key: QueryId, entry: usize) {
+        self.asked.remove(&key);
+        self.step(entry, Input::CallerGone(key));
+    }
+
+    /// The connections of an entry to those that collect its groups break.
+    pub fn lose_groups(&mut self, entry: usize) {
+        let of_entry = self.delegations.keys().filter(|(from, _)| *from == entry).copied();
+        let mut lost: Vec<_> = of_entry.collect();
+        lost.sort();
+        for (from, group) in lost {
+            let (to, key) = self.delegations.remove(&(from, group)).expect("it was just there");
+            self.gathers.remove(&key);
+            self.asked.remove(&key);
+            self.step(to, Input::GatherCancelled(key));
+            self.step(from, Input::Group { group, news: GroupNews::Lost });
+        }
+    }
+
+    /// Servers of one service that took the same request, at the most.
+    pub fn most_servers_of_a_shard(&self) -> usize {
+        self.taken.values().map(HashSet::len).max().unwrap_or(0)
+    }
+
+    /// Requests on which servers work or that wait there.
+    pub fn at_work(&self) -> usize {
+        self.servers.iter().map(|s| s.running.len() + s.queue.len()).sum()
+    }
+
+    /// Sends one request to this entry now.
+    pub fn request_at(&mut self, route: usize, entry: usize) -> QueryId {
         let key = QueryId(self.next_key);
         self.next_key += 1;
         self.asked.insert(key, (route, self.now));
         let wait = Some(self.routes[route].timeout());
-        let entry = self.rng.random_range(0..self.engines.len());
         let input = Input::Request {
             key,
             id: format!("r{key}").into(),
             host: "plots.example".into(),
             path: self.paths[route].as_str().into(),
             wait,
+            opened_connection: false,
         };
         self.step(entry, input);
         key
@@ -337,7 +525,11 @@
     pub fn step(&mut self, entry: usize, input: Input) {
         let mut out = Vec::new();
         self.engines[entry].step(self.now, input, &mut out);
+        self.busy_until[entry] = self.busy_until[entry].max(self.now) + self.entry_work;
         for output in out {
+            if matches!(output, Output::Send(_) | Output::Delegate(_) | Output::Parts { .. }) {
+                self.busy_until[entry] = self.busy_until[entry] + self.entry_work;
+            }
             self.carry_out(entry, output);
         }
         if let Some(at) = self.engines[entry].next_wake()
@@ -353,7 +545,39 @@
             Output::Send(send) => {
                 let server = self.by_name[&send.server];
                 let event = Event::Reach(server, (entry, send.attempt), send.request);
-                self.queue(self.now + WAY, event);
+                self.queue(self.busy_until[entry].max(self.now) + WAY, event);
+            }
+            Output::Delegate(delegation) => {
+                let to = entry_number(&delegation.peer);
+                self.tell(to, entry, Told::Gather(entry, delegation));
+            }
+            Output::ConfirmGroup(group) => {
+                if let Some((to, _)) = self.delegations.get(&(entry, group)).copied() {
+                    self.tell(to, entry, Told::Confirm(entry, group));
+                }
+            }
+            Output::CancelGroup(group) => {
+                if let Some((to, _)) = self.delegations.get(&(entry, group)).copied() {
+                    self.tell(to, entry, Told::Cancel(entry, group));
+                }
+            }
+            Output::ProbePeer { peer, .. } => {
+                self.tell(entry_number(&peer), entry, Told::Probe(entry));
+            }
+            Output::Parts { request, parts, waits, last, .. } => {
+                let Some((to, group)) = self.gathers.get(&request).copied() else { return };
+                if last {
+                    self.gathers.remove(&request);
+                    self.asked.remove(&request);
+                }
+                let shards = parts.into_iter().map(|(shard, _)| shard).collect();
+                let news = GroupNews::Parts { shards, waits, last };
+                self.tell(to, entry, Told::Group(group, news));
+            }
+            Output::Decline(request) => {
+                if let Some((to, group)) = self.gathers.remove(&request) {
+                    self.tell(to, entry, Told::Group(group, GroupNews::Declined));
+                }
             }
             Output::BreakOff(attempt) => {
                 let sent = (entry, attempt);
@@ -372,7 +596,7 @@
             Output::Finish { request, verdict } => {
                 let (route, at) = self.asked.remove(&request).expect("it is told once");
                 let parts = match &verdict {
-                    Verdict::Merge { attempts, .. } => attempts.len(),
+                    Verdict::Merge { missing, .. } => self.routes[route].services().len() - missing,
                     Verdict::Forward(_) => 1,
                     Verdict::Refuse(_) => 0,
                 };
@@ -411,6 +635,9 @@
             return self.queue(reply, Event::Reply(attempt, 2));
         }
         s.queue.push_back((attempt, work));
+        let service = s.name.as_str().rsplit_once('-').map_or("", |(service, _)| service);
+        let root = self.roots.get(&key).copied().unwrap_or(key);
+        self.taken.entry((root, service.to_owned())).or_default().insert(server);
         self.start(server);
     }
 
--- /dev/null
+++ b/crates/hornbeam_route/tests/delegated.rs
@@ -0,0 +1,163 @@
+//! Searches over many shards, collected in groups by several entries.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{EntryFault, Fault, World, scatter};
+use hornbeam_model::QueryId;
+use hornbeam_route::{Decision, GroupFailure};
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const ENTRIES: usize = 18;
+const SHARDS: usize = 90;
+/// Sweeps and checks a second: the part of the users' grown deployment that 18 of 73 entries get.
+const SWEEPS: f64 = 9.5;
+const CHECKS: f64 = 3.2;
+/// What the users' entries of 0.12 cores take for a message, as measured on their bench.
+const ENTRY_WORK: Duration = Duration::from_micros(380);
+/// Worth that a kind of search must earn on a calm day; the users fail a day at 0.21 for the check.
+const CALM: f64 = 0.8;
+
+/// The grown deployment of the users who put tail latency first.
+fn grown(seed: u64) -> World {
+    let sweep = scatter("sweep", SHARDS, 80, 0.95);
+    let check = scatter("check", SHARDS, 40, 0.85);
+    let work = vec![7_500 * MS / 1_000, 2_500 * MS / 1_000];
+    let mut world = World::new(seed, ENTRIES, vec![sweep, check], work, 3);
+    world.pause_all(2_400 * MS, 100 * MS);
+    world.entry_work = ENTRY_WORK;
+    world
+}
+
+/// Worth of sweeps and checks after the entries have learnt the usual latencies.
+fn run(world: &mut World, time: Duration) -> (f64, f64) {
+    world.load(0, SWEEPS, 3 * SECOND);
+    world.load(1, CHECKS, 3 * SECOND);
+    world.run(4 * SECOND);
+    world.ended.clear();
+    world.decisions.clear();
+    world.load(0, SWEEPS, time);
+    world.load(1, CHECKS, time);
+    world.run(time + 2 * SECOND);
+    (world.worth(0), world.worth(1))
+}
+
+fn failures(world: &World, why: GroupFailure) -> usize {
+    let of_kind =
+        |d: &Decision| matches!(d, Decision::GroupFailed { reason, .. } if *reason == why);
+    world.decisions.iter().filter(|(_, d)| of_kind(d)).count()
+}
+
+#[test]
+fn many_shards() {
+    let mut world = grown(1);
+    world.introduce();
+    let (sweep, check) = run(&mut world, 10 * SECOND);
+    assert!(sweep > CALM && check > CALM, "{sweep} {check}");
+    assert!(world.extra() < 0.2, "{}", world.extra());
+}
+
+#[test]
+fn frozen_entry() {
+    let mut world = grown(2);
+    world.introduce();
+    run(&mut world, SECOND);
+    world.entry_faults[0] = EntryFault::Frozen;
+    world.ended.clear();
+    world.decisions.clear();
+    world.load(0, SWEEPS, 5 * SECOND);
+    world.run(7 * SECOND);
+    assert!(failures(&world, GroupFailure::NotBegun) > 0);
+    // Each other entry of its zone finds out once, and sends the group itself in time.
+    let served = world.worth(0);
+    assert!(served > 0.9 * CALM, "{served}");
+    assert!(failures(&world, GroupFailure::NotBegun) < ENTRIES, "it is asked again and again");
+}
+
+#[test]
+fn leaving_entry() {
+    let mut world = grown(3);
+    world.introduce();
+    run(&mut world, SECOND);
+    world.entry_faults[1] = EntryFault::Leaving;
+    let (sweep, check) = run(&mut world, 5 * SECOND);
+    assert!(sweep > CALM && check > CALM, "{sweep} {check}");
+}
+
+#[test]
+fn all_others_leaving() {
+    let mut world = grown(4);
+    world.introduce();
+    world.entry_faults = vec![EntryFault::Leaving; ENTRIES];
+    world.entry_work = Duration::ZERO;
+    let (sweep, check) = run(&mut world, 5 * SECOND);
+    assert!(sweep > CALM && check > CALM, "{sweep} {check}");
+}
+
+#[test]
+fn dark_shards() {
+    let mut world = grown(5);
+    world.introduce();
+    for shard in [3, 40, 41] {
+        world.fault(&format!("s{shard}"), Fault::Dark);
+    }
+    let (sweep, check) = run(&mut world, 10 * SECOND);
+    // 87 of 90 parts are worth 0.93.
+    assert!(sweep > 0.93 * CALM && check > 0.93 * CALM, "{sweep} {check}");
+}
+
+/// One entry with a search whose groups are all with another one.
+fn asked(world: &mut World) -> (QueryId, usize) {
+    world.introduce();
+    world.run(SECOND);
+    let key = world.request_at(0, 0);
+    let delegated = world.decisions.iter().find_map(|(_, d)| match d {
+        Decision::Delegated { groups, .. } => Some(*groups),
+        _ => None,
+    });
+    (key, delegated.expect("it has many shards"))
+}
+
+#[test]
+fn caller_that_left() {
+    let mut world = grown(6);
+    let (key, groups) = asked(&mut world);
+    assert_eq!(groups, SHARDS.div_ceil(9), "groups of the square root of the shards");
+    world.run(2 * MS);
+    world.leave(key, 0);
+    world.run(500 * MS);
+    let left = world.engines.iter().map(|e| e.in_flight()).sum::<usize>();
+    assert_eq!(left, 0, "other entries still collect");
+    assert_eq!(world.at_work(), 0, "servers still work half a second later");
+}
+
+#[test]
+fn lost_group() {
+    let mut world = grown(7);
+    asked(&mut world);
+    world.run(5 * MS);
+    world.lose_groups(0);
+    world.run(2 * SECOND);
+    assert!(failures(&world, GroupFailure::Lost) > 0);
+    assert_eq!(world.ended.len(), 1);
+    assert!(world.most_servers_of_a_shard() <= 2, "more servers than the route allows");
+}
+
+#[test]
+fn late_entries() {
+    // New shards: no connections and no latencies are known, and every entry is late.
+    for seed in 10..20 {
+        let mut world = grown(seed);
+        world.introduce();
+        world.entry_work = 4 * ENTRY_WORK;
+        for shard in 0..SHARDS {
+            world.fault_one(&format!("s{shard}-{}", shard % 3), Fault::Slow(10.0));
+        }
+        world.load(0, 4.0 * SWEEPS, 2 * SECOND);
+        world.run(4 * SECOND);
+        let most = world.most_servers_of_a_shard();
+        assert!(most <= 2, "seed {seed}: {most} servers of one shard got a request");
+    }
+}
--- a/crates/hornbeam_route/tests/retries.rs
+++ b/crates/hornbeam_route/tests/retries.rs
@@ -29,6 +29,7 @@
             engine: Engine::new(EngineParams {
                 zone: "olomouc".parse().unwrap(),
                 budget,
+                delegate_above: 32,
                 max_running: 100,
                 linger: 300 * MS,
                 seed: 1,
@@ -64,6 +65,7 @@
                 host: "plots.example".into(),
                 path: "/lookup/1".into(),
                 wait: None,
+                opened_connection: false,
             },
         );
         self.sent()
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -13,6 +13,9 @@
 
 use crate::error::{ReadSnafu, SettingsError};
 
+/// Shards of a search above which other entries help: below it the work of giving them away is most of
+/// that of sending to them.
+const DEFAULT_DELEGATE_ABOVE: usize = 32;
 /// Memory assumed while none is set, in megabytes.
 const DEFAULT_MEMORY_MB: u32 = 256;
 
@@ -83,11 +86,18 @@
     /// Extra requests of the whole fleet.
     #[serde(default)]
     pub budget: ExtraBudget,
+    /// Shards of a search above which other entries of the zone collect groups of them.
+    #[serde(default = "default_delegate_above")]
+    pub delegate_above: usize,
     /// Memory of the process in megabytes.
     #[serde(default = "default_memory")]
     pub memory_mb: u32,
 }
 
+fn default_delegate_above() -> usize {
+    DEFAULT_DELEGATE_ABOVE
+}
+
 fn default_memory() -> u32 {
     DEFAULT_MEMORY_MB
 }
--- a/crates/hornbeamctl/src/explain.rs
+++ b/crates/hornbeamctl/src/explain.rs
@@ -62,23 +62,26 @@
 pub fn explain(request: &str, mut all: Vec<Line>) -> Explanation {
     all.sort_by_key(|l| l.unix_ms);
     let lines: Vec<Line> = all.iter().filter(|l| text(l, "request") == request).cloned().collect();
-    let (Some(last), Some(first)) = (lines.last(), lines.first()) else {
+    let Some(last) = lines.last() else {
         let cause = "no log has the request: it did not reach an entry, its lines were left out \
                      to bound the log, or a log is missing";
         return Explanation { cause: cause.to_owned(), ..Explanation::default() };
     };
     let mut latest: BTreeMap<(String, String), Line> = BTreeMap::new();
-    for line in all.iter().filter(|l| l.instance == first.instance && l.unix_ms <= last.unix_ms) {
+    // Other entries may have collected some of its shards.
+    let concerned = |l: &&Line| lines.iter().any(|of| of.instance == l.instance);
+    for line in all.iter().filter(concerned).filter(|l| l.unix_ms <= last.unix_ms) {
         let kind = match (text(line, "belief"), text(line, "decision")) {
             (belief, _) if BELIEFS.contains(&belief) => belief,
             (_, decision) if STATES.contains(&decision) => decision,
             _ => continue,
         };
         let about = format!("{}{}", text(line, "server"), text(line, "controller"));
-        let concerned = about.is_empty()
+        let is_shown = about.is_empty()
             || kind.starts_with("feed")
             || lines.iter().any(|l| text(l, "server") == text(line, "server"));
-        if concerned {
+        if is_shown {
+            let about = format!("{} {about}", line.instance);
             latest.insert((kind.to_owned(), about), line.clone());
         }
     }
@@ -86,6 +89,32 @@
     Explanation { lines, beliefs: latest.into_values().collect(), cause }
 }
 
+/// What became of the groups of shards that other entries collected, if something is lacking.
+fn groups(lines: &[Line]) -> String {
+    let mut told = String::new();
+    for l in lines {
+        match text(l, "decision") {
+            "group_failed" => told.push_str(&format!(
+                "; {} did not collect {} shards ({}) after {} ms, {} were sent from here",
+                text(l, "peer"),
+                number(l, "shards"),
+                text(l, "reason"),
+                number(l, "after_ms"),
+                number(l, "sent_from_here")
+            )),
+            "gathered" if number(l, "missing") > 0 => told.push_str(&format!(
+                "; {} collected a group without {} shards: {} found no room, {} were out",
+                l.instance,
+                number(l, "missing"),
+                number(l, "waiting"),
+                number(l, "late")
+            )),
+            _ => {}
+        }
+    }
+    told
+}
+
 /// The cause in a sentence, from the last decision and the failures before it.
 fn cause(lines: &[Line]) -> String {
     let with =
@@ -103,6 +132,7 @@
     } else {
         format!("; failed attempts: {}", failures.join("; "))
     };
+    let failures = format!("{}{failures}", groups(lines));
     if let Some(l) = with("refused").next_back() {
         let took = number(l, "took_ms");
         let why = match text(l, "reason") {
