An entry that ends answers what is still in flight

Reading on, one more way was open: a request that its server answers too late for the grace period ended with a closed connection. Test: hornbeamrun/tests/fleet stopped_while_server_is_silent (an empty answer before), hornbeam_route/tests/retries stopping_entry.

--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -235,6 +235,7 @@
         RefusalKind::NoServer => (StatusCode::SERVICE_UNAVAILABLE, "too few servers are there"),
         RefusalKind::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, "the servers are full"),
         RefusalKind::Failed => (StatusCode::BAD_GATEWAY, "servers failed; it may have run"),
+        RefusalKind::Stopping => (StatusCode::BAD_GATEWAY, "this entry ends; it may have run"),
         RefusalKind::TimedOut => {
             (StatusCode::GATEWAY_TIMEOUT, "no answer in time; it may have run")
         }
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -253,6 +253,7 @@
         }
     };
     wait_until(began + grace.saturating_sub(LAST_ANSWERS)).await;
+    core.step(Input::Stop);
     wait_until(began + grace.saturating_sub(LAST_MOMENT)).await;
     // The last answers are on their way through the sockets.
     tokio::time::sleep(DRAIN_POLL).await;
--- a/crates/hornbeam_route/src/engine/finish.rs
+++ b/crates/hornbeam_route/src/engine/finish.rs
@@ -48,8 +48,23 @@
         false
     }
 
-    /// The time of a request is up.
-    pub(super) fn give_up(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
+    /// Ends all requests: with what is in, if that is enough, or with a refusal.
+    pub(super) fn stop(&mut self, now: Mono, out: &mut Vec<Output>) {
+        let mut keys: Vec<QueryId> = self.requests.keys().copied().collect();
+        keys.sort_unstable();
+        for key in keys {
+            self.give_up(now, key, RefusalKind::Stopping, out);
+        }
+    }
+
+    /// Ends a request that is not waited for any longer, for this reason if it may have run.
+    pub(super) fn give_up(
+        &mut self,
+        now: Mono,
+        key: QueryId,
+        why: RefusalKind,
+        out: &mut Vec<Output>,
+    ) {
         let Some(running) = self.requests.get(&key) else { return };
         if running.is_group() {
             return self.end_gathering(now, key, out);
@@ -57,8 +72,7 @@
         if running.parts >= running.min_parts {
             return self.answer(now, key, out);
         }
-        let kind =
-            if running.may_have_run() { RefusalKind::TimedOut } else { RefusalKind::Overloaded };
+        let kind = if running.may_have_run() { why } else { RefusalKind::Overloaded };
         self.refuse(now, key, kind, out);
     }
 
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -39,7 +39,7 @@
 use crate::budget::BudgetParams;
 use crate::decision::{Decision, SendKind};
 use crate::peers::{Peer, Peers};
-use crate::request::{Refusal, Running};
+use crate::request::{Refusal, RefusalKind, Running};
 use crate::server::Server;
 use crate::service::Service;
 use crate::split::Splitter;
@@ -156,6 +156,8 @@
     GatherConfirmed(QueryId),
     /// Another entry needs a group no longer.
     GatherCancelled(QueryId),
+    /// The process ends: every request gets its final answer now.
+    Stop,
     /// Time has passed.
     Tick,
 }
@@ -425,6 +427,7 @@
             Input::Gather(asked) => self.on_gather(now, asked, out),
             Input::GatherConfirmed(key) => self.on_gather_confirmed(now, key, out),
             Input::GatherCancelled(key) => self.on_gather_cancelled(now, key, out),
+            Input::Stop => self.stop(now, out),
             Input::Tick => {}
         }
         self.run_timers(now, out);
@@ -487,7 +490,7 @@
         let Some(running) = self.requests.get_mut(&key) else { return };
         running.armed = Mono::MAX;
         if now >= running.deadline {
-            return self.give_up(now, key, out);
+            return self.give_up(now, key, RefusalKind::TimedOut, out);
         }
         self.take_back(now, key, out);
         let Some(running) = self.requests.get_mut(&key) else { return };
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -28,6 +28,8 @@
     Failed,
     /// Its time is up; it may have run.
     TimedOut,
+    /// The entry ends; it may have run.
+    Stopping,
 }
 
 impl RefusalKind {
--- a/crates/hornbeam_route/tests/retries.rs
+++ b/crates/hornbeam_route/tests/retries.rs
@@ -208,3 +208,14 @@
     bench.step(T + 302 * MS, Input::Tick);
     assert!(bench.out.iter().any(|o| matches!(o, Output::BreakOff(a) if *a == first)));
 }
+
+#[test]
+fn stopping_entry() {
+    let mut bench = Bench::new(lookup(), 0);
+    let first = bench.request(T, 1).expect("sent");
+    bench.step(T + 30 * MS, Input::Stop);
+    assert_eq!(refusal(bench.verdict()), Some(RefusalKind::Stopping));
+    bench.out.clear();
+    assert_eq!(bench.reply(T + 31 * MS, first, Outcome::Answered), None);
+    assert_eq!(bench.verdict(), None, "it is told once");
+}
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hornbeam_soak::caller::{Caller, HOST, http};
+use hornbeam_model::Routing;
+use hornbeam_soak::caller::{Caller, HOST, http, put_table};
 use hornbeam_soak::fleet::{Kind, METRICS_PORT};
-use hornbeam_soak::run::{Options, Stage, play};
+use hornbeam_soak::run::{Options, Stage, play, table};
+use hornbeam_soak::server::Habit;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -130,6 +132,39 @@
     assert!(cut.is_empty(), "{cut:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_while_server_is_silent() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut stage = stage(17, (1, 1), folder.path()).await;
+    for running in &stage.servers {
+        running.server.set_habit(Habit::Dark);
+    }
+    // The route's own time is longer than the grace of the process.
+    let mut table: Routing = serde_json::from_slice(&table(9)).unwrap();
+    for route in &mut table.routes {
+        Arc::make_mut(route).timeout_ms = 9_000;
+    }
+    let table = serde_json::to_vec(&table).unwrap();
+    assert_eq!(put_table(&stage.fleet.apis(), &table, 0).await, Some(200));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let id = "hornbeam-request-id: s1\r\nhornbeam-deadline-ms: 9000";
+    let text = request(&format!("POST /write/1 HTTP/1.1\r\nhost: {HOST}\r\n{id}"));
+    let entry = stage.fleet.callers()[0];
+    let asking = tokio::spawn(async move {
+        let mut stream = TcpStream::connect(entry).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // The entry closes the connection behind its answer, or resets it.
+        let read = stream.read_to_end(&mut answer).await;
+        (read.is_ok(), String::from_utf8_lossy(&answer).into_owned())
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let entry = stage.fleet.of_kind(Kind::Entry)[0];
+    assert!(stage.fleet.programs[entry].stop().await, "it ends by itself within its grace");
+    let (whole, answer) = asking.await.unwrap();
+    assert!(whole && answer.starts_with("HTTP/1.1 50"), "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_disks_one_by_one() {
     let folder = tempfile::tempdir().unwrap();
