Soak: searches in groups, faults on the links between entries

Cause: the soak's searches of five shards never went through other entries, whose connections had no proxy. Change: entries of the soak share a zone and help each other above two shards; their inner ports are reached through the proxy; links of an entry are slowed, cut, silenced and reset.

--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -25,6 +25,8 @@
 const INNER_PORT: u16 = 7380;
 /// Time from SIGTERM to SIGKILL, in seconds.
 pub const GRACE_S: u64 = 4;
+/// Shards above which entries help each other: fewer than a search here has.
+const DELEGATE_ABOVE: usize = 2;
 
 /// What kind of program it is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -83,10 +85,15 @@
             fleet.add(folder, Kind::Controller, name, ip(1 + i), ip(101 + i));
         }
         for i in 0..entries {
-            fleet.add(folder, Kind::Entry, format!("entry-{i}"), ip(51 + i), ip(51 + i));
+            fleet.add(folder, Kind::Entry, format!("entry-{i}"), ip(51 + i), ip(151 + i));
         }
-        for program in fleet.programs.iter().filter(|p| p.kind == Kind::Controller) {
+        for program in &fleet.programs {
             let at = |ip, port| SocketAddr::new(ip, port);
+            if program.kind == Kind::Entry {
+                let (from, to) = (at(program.address, INNER_PORT), at(program.bind, INNER_PORT));
+                carry_streams(from, to, program.links.clone()).await?;
+                continue;
+            }
             for port in [API_PORT, INNER_PORT, INNER_PORT + 1] {
                 let (from, to) = (at(program.address, port), at(program.bind, port));
                 carry_streams(from, to, program.links.clone()).await?;
@@ -141,12 +148,17 @@
     fn settings_of(&self, i: usize, founding: bool) -> String {
         let program = &self.programs[i];
         let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        // Entries help only others of their zone.
+        let zone = match program.kind {
+            Kind::Entry => ZONES[0],
+            Kind::Controller => ZONES[i % ZONES.len()],
+        };
         let common = format!(
             "instance: {}\nzone: {}\naddress: {}\nbind: {}\ninner_port: {INNER_PORT}\n\
              seeds: [{}]\nkey: soak\nheartbeat_ms: 400\ngrace_s: {GRACE_S}\n\
              metrics: {}:{METRICS_PORT}\n",
             program.name,
-            ZONES[i % ZONES.len()],
+            zone,
             program.address,
             program.bind,
             seeds.join(", "),
@@ -155,7 +167,8 @@
         match program.kind {
             Kind::Entry => format!(
                 "{common}callers: {0}:{CALLERS_PORT}\nready: {0}:{READY_PORT}\n\
-                 budget: {{ratio: 0.2, window_s: 10, allowance: 40}}\n",
+                 budget: {{ratio: 0.2, window_s: 10, allowance: 40}}\n\
+                 delegate_above: {DELEGATE_ABOVE}\n",
                 program.bind
             ),
             Kind::Controller => format!(
@@ -181,14 +194,14 @@
     /// Where entries take requests.
     pub fn callers(&self) -> Vec<SocketAddr> {
         let entries = self.programs.iter().filter(|p| p.kind == Kind::Entry);
-        entries.map(|p| SocketAddr::new(p.address, CALLERS_PORT)).collect()
+        entries.map(|p| SocketAddr::new(p.bind, CALLERS_PORT)).collect()
     }
 
     /// Waits until every entry is ready; false if one is not in time.
     pub async fn wait_ready(&self, time: Duration) -> bool {
         let end = tokio::time::Instant::now() + time;
         for entry in self.programs.iter().filter(|p| p.kind == Kind::Entry) {
-            let address = SocketAddr::new(entry.address, READY_PORT);
+            let address = SocketAddr::new(entry.bind, READY_PORT);
             while http(address, "GET", "/v1/health", b"", Duration::from_secs(1))
                 .await
                 .is_none_or(|(status, _)| status != 200)
--- a/crates/hornbeam_soak/src/plan.rs
+++ b/crates/hornbeam_soak/src/plan.rs
@@ -47,8 +47,19 @@
         /// For how long.
         time: Duration,
     },
+    /// The links from other entries to an entry behave badly for a time.
+    EntryLinks {
+        /// Which one.
+        which: usize,
+        /// How.
+        mood: Mood,
+        /// For how long.
+        time: Duration,
+    },
     /// Every connection to a controller is reset.
     Reset(usize),
+    /// Every connection of other entries to an entry is reset.
+    ResetEntry(usize),
     /// A server behaves badly for a time.
     Server {
         /// Which one.
@@ -77,9 +88,10 @@
 
     fn time(&self) -> Duration {
         match self {
-            Self::Freeze { time, .. } | Self::Links { time, .. } | Self::Server { time, .. } => {
-                *time
-            }
+            Self::Freeze { time, .. }
+            | Self::Links { time, .. }
+            | Self::EntryLinks { time, .. }
+            | Self::Server { time, .. } => *time,
             _ => Duration::from_secs(1),
         }
     }
@@ -115,24 +127,27 @@
     plan
 }
 
+fn draw_mood(rng: &mut SmallRng) -> Mood {
+    let moods = [Mood::Slow, Mood::CutThere, Mood::CutBack, Mood::Silent];
+    *moods.choose(rng).unwrap_or(&Mood::Silent)
+}
+
 fn draw_one(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let time = Duration::from_millis(rng.random_range(300..4_000));
     let entry = rng.random_range(0..sizes.entries);
     let which = rng.random_range(0..sizes.controllers);
     let server = rng.random_range(0..sizes.servers);
-    match rng.random_range(0..14) {
+    match rng.random_range(0..17) {
         0 => Fault::KillEntry(entry),
         1 => Fault::StopEntry(entry),
         2 => Fault::Freeze { controller: false, which: entry, time },
         3 => Fault::Freeze { controller: true, which, time },
         4 => Fault::KillController { which, wipe: rng.random_bool(0.5) },
         5 => Fault::KillControllers,
-        6 | 7 => {
-            let moods = [Mood::Slow, Mood::CutThere, Mood::CutBack, Mood::Silent];
-            let mood = *moods.choose(rng).unwrap_or(&Mood::Silent);
-            Fault::Links { which, mood, time }
-        }
+        6 | 7 => Fault::Links { which, mood: draw_mood(rng), time },
         8 => Fault::Reset(which),
+        14 | 15 => Fault::EntryLinks { which: entry, mood: draw_mood(rng), time },
+        16 => Fault::ResetEntry(entry),
         9 | 10 => {
             let habit = *BAD_HABITS.choose(rng).unwrap_or(&Habit::Dark);
             Fault::Server { which: server, habit, time }
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -314,14 +314,13 @@
             }
         }
         Fault::Links { which, mood, time } => {
-            let i = controllers[which];
-            s.fleet.programs[i].links.set(mood);
-            return Some(later(stage, time, move |s| {
-                s.fleet.programs[i].links.set(Mood::Open);
-                s.ledger.note_fault();
-            }));
+            return Some(hurt_links(stage, &s, controllers[which], mood, time));
+        }
+        Fault::EntryLinks { which, mood, time } => {
+            return Some(hurt_links(stage, &s, entries[which], mood, time));
         }
         Fault::Reset(which) => s.fleet.programs[controllers[which]].links.reset(),
+        Fault::ResetEntry(which) => s.fleet.programs[entries[which]].links.reset(),
         Fault::Server { which, habit, time } => {
             let server = s.servers[which].server.clone();
             server.set_habit(habit);
@@ -341,6 +340,21 @@
     None
 }
 
+/// Lets the links to a program behave badly for a time.
+fn hurt_links(
+    stage: &Arc<Mutex<Stage>>,
+    s: &Stage,
+    i: usize,
+    mood: Mood,
+    time: Duration,
+) -> Healing {
+    s.fleet.programs[i].links.set(mood);
+    later(stage, time, move |s| {
+        s.fleet.programs[i].links.set(Mood::Open);
+        s.ledger.note_fault();
+    })
+}
+
 /// Starts another server of the same service and lets one leave.
 async fn replace(stage: &Arc<Mutex<Stage>>, s: &mut Stage, which: usize) -> Option<Healing> {
     let service = s.servers[which].server.service.clone();
