Commands end quietly on a closed pipe; timeline reads the logs of entries and controllers

Cause: `hornbeamrun demo | head -1` panicked; `timeline` asked instances only, and `explain` did not know of groups that other entries collect. Change: hornbeam_events::output prints for both binaries; hornbeamctl::logs reads logs for explain and timeline; explain shows what became of the groups and what their entries believed. Test: hornbeamrun/tests/processes closed_pipe (panicked before), hornbeamctl/tests/explanations logs_in_one_order and groups_of_other_entries.

--- a/crates/hornbeamctl/src/args.rs
+++ b/crates/hornbeamctl/src/args.rs
@@ -79,13 +79,16 @@
     pub files: Vec<PathBuf>,
 }
 
-/// Show the events of all instances in one order.
+/// Show the events of all instances, or the lines of logs of entries and controllers, in one order.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "timeline")]
 pub struct TimelineArgs {
     /// print JSON lines
     #[argh(switch)]
     pub json: bool,
+    /// logs of entries and controllers; instances are not asked then
+    #[argh(positional)]
+    pub files: Vec<std::path::PathBuf>,
 }
 
 /// Shut an instance down in good order.
--- a/crates/hornbeamctl/src/change.rs
+++ b/crates/hornbeamctl/src/change.rs
@@ -1,5 +1,6 @@
 //! Submits a change and waits until it is in force.
 
+use hornbeam_events::outln;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -36,7 +37,7 @@
 pub async fn submit(client: &Client, expect: Revision, change: &Change) -> Result<(), Failure> {
     let id = new_change_id()?;
     let revision = send_until_decided(client, &id, expect, change).await?;
-    println!("accepted as revision {revision}");
+    outln!("accepted as revision {revision}");
     wait_in_force(client, revision).await
 }
 
@@ -116,11 +117,11 @@
         if waiting.is_empty() {
             break;
         }
-        println!("waiting for {} of {}", waiting.len(), client.instances().len());
+        outln!("waiting for {} of {}", waiting.len(), client.instances().len());
         tokio::time::sleep(POLL).await;
     }
     if waiting.is_empty() {
-        println!("in force on {} instances", client.instances().len());
+        outln!("in force on {} instances", client.instances().len());
     }
     all_reached(waiting)
 }
--- a/crates/hornbeamctl/src/config.rs
+++ b/crates/hornbeamctl/src/config.rs
@@ -1,5 +1,6 @@
 //! Shows, compares and applies the configuration.
 
+use hornbeam_events::{out, outln};
 use std::fmt::Write;
 use std::path::Path;
 
@@ -37,17 +38,17 @@
         ConfigCommand::Show(args) => show(client, args.json).await,
         ConfigCommand::Diff(args) => {
             let (current, wanted) = both(client, &args.file).await?;
-            print!("{}", diff(&current.config, &wanted));
+            out!("{}", diff(&current.config, &wanted));
             Ok(())
         }
         ConfigCommand::Apply(args) => {
             let (current, wanted) = both(client, &args.file).await?;
             let text = diff(&current.config, &wanted);
             if text.is_empty() {
-                println!("revision {} is the same: nothing to do", current.revision);
+                outln!("revision {} is the same: nothing to do", current.revision);
                 return Ok(());
             }
-            print!("{text}");
+            out!("{text}");
             let change = Change::ReplaceAll { services: wanted.services };
             change::submit(client, current.revision, &change).await
         }
@@ -68,7 +69,7 @@
     } else {
         serde_saphyr::to_string(&body.config).map_err(|e| e.to_string())
     };
-    println!("{}", text.map_err(Failure::Usage)?);
+    outln!("{}", text.map_err(Failure::Usage)?);
     Ok(())
 }
 
@@ -110,11 +111,11 @@
     let items: Vec<Value> = client.get("/v1/config/history").await?;
     for item in items {
         if json {
-            println!("{item}");
+            outln!("{item}");
             continue;
         }
         let kind = item["change"].as_object().and_then(|o| o.keys().next().cloned());
-        println!(
+        outln!(
             "{:>8}  {:>14}  {}  {}",
             item["revision"],
             item["unix_ms"],
--- a/crates/hornbeamctl/src/control.rs
+++ b/crates/hornbeamctl/src/control.rs
@@ -1,5 +1,6 @@
 //! Replaces voters.
 
+use hornbeam_events::outln;
 use std::time::{Duration, Instant};
 
 use reqwest::{Method, StatusCode};
@@ -38,7 +39,7 @@
         let status = reply.status();
         let text = reply.text().await.unwrap_or_default();
         if status == StatusCode::ACCEPTED {
-            println!("replacement of {} by {} begun", args.outgoing, args.incoming);
+            outln!("replacement of {} by {} begun", args.outgoing, args.incoming);
             return wait_until_done(client, &args.incoming).await;
         }
         last = Failure::Refused(format!("{instance}: {status}: {text}"));
@@ -61,10 +62,10 @@
             voters.is_some_and(|v| v.iter().any(|name| name == incoming))
         };
         if leaders.any(|s| s["replacing"] == false && votes(&s)) {
-            println!("{incoming} votes");
+            outln!("{incoming} votes");
             return Ok(());
         }
-        println!("waiting until {incoming} has caught up");
+        outln!("waiting until {incoming} has caught up");
     }
     Err(Failure::Unknown(format!("{incoming} does not vote yet: look at it with status")))
 }
--- a/crates/hornbeamctl/src/events.rs
+++ b/crates/hornbeamctl/src/events.rs
@@ -1,6 +1,7 @@
 //! Events of one instance, or of all as a time line.
 
 use hornbeam_events::{Record, timeline as merged};
+use hornbeam_events::{out, outln};
 
 use crate::args::{EventsArgs, TimelineArgs};
 use crate::client::{Client, Failure, all_reached};
@@ -26,12 +27,12 @@
 
 fn print(records: &[Record], json: bool) {
     if !json {
-        print!("{}", merged::render(records));
+        out!("{}", merged::render(records));
         return;
     }
     for record in records {
         if let Ok(line) = serde_json::to_string(record) {
-            println!("{line}");
+            outln!("{line}");
         }
     }
 }
--- a/crates/hornbeamctl/src/explain.rs
+++ b/crates/hornbeamctl/src/explain.rs
@@ -1,13 +1,13 @@
 //! What became of one request and why, from the logs of all programs.
 
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::path::PathBuf;
 
+use hornbeam_events::out;
 use serde_json::Value;
 
 use crate::args::ExplainArgs;
 use crate::client::Failure;
+use crate::logs::{Line, read_all};
 
 /// Beliefs shown beside a request, the latest of each kind before it ended.
 const BELIEFS: [&str; 6] =
@@ -15,17 +15,6 @@
 /// Decisions that change what an entry believes, shown in the same way.
 const STATES: [&str; 3] = ["table_in_force", "ejected", "server_changed"];
 
-/// One line of a log.
-#[derive(Clone, Debug)]
-pub struct Line {
-    /// When it was written, in milliseconds since 1970.
-    pub unix_ms: i64,
-    /// Who wrote it.
-    pub instance: String,
-    /// All its fields.
-    pub fields: Value,
-}
-
 /// What became of a request.
 #[derive(Debug, Default)]
 pub struct Explanation {
@@ -37,19 +26,6 @@
     pub cause: String,
 }
 
-/// Reads the lines of a log; text before the object of a line is passed over.
-pub fn parse(text: &str) -> Vec<Line> {
-    let objects = text.lines().filter_map(|line| {
-        let fields: Value = serde_json::from_str(&line[line.find('{')?..]).ok()?;
-        Some(Line {
-            unix_ms: fields.get("unix_ms")?.as_i64()?,
-            instance: fields.get("instance")?.as_str()?.to_owned(),
-            fields,
-        })
-    });
-    objects.collect()
-}
-
 fn text<'a>(line: &'a Line, field: &str) -> &'a str {
     line.fields.get(field).and_then(Value::as_str).unwrap_or_default()
 }
@@ -181,46 +157,26 @@
 ///
 /// A file cannot be read.
 pub fn run(args: &ExplainArgs) -> Result<(), Failure> {
-    let mut lines = Vec::new();
-    for file in &args.files {
-        lines.extend(parse(&read(file)?));
-    }
-    let explanation = explain(&args.request, lines);
-    let mut out = std::io::stdout().lock();
-    // A reader that has seen enough may close the pipe.
-    let _ = show(&mut out, &args.request, &explanation);
+    let explanation = explain(&args.request, read_all(&args.files)?);
+    out!("{}", show(&args.request, &explanation));
     Ok(())
 }
 
-fn read(file: &PathBuf) -> Result<String, Failure> {
-    std::fs::read_to_string(file).map_err(|e| {
-        Failure::Usage(format!("{} cannot be read ({e}): check the path", file.display()))
-    })
-}
-
-/// Writes an explanation.
-///
-/// # Errors
-///
-/// The output cannot be written.
-pub fn show(out: &mut impl Write, request: &str, explanation: &Explanation) -> std::io::Result<()> {
+/// An explanation as text.
+pub fn show(request: &str, explanation: &Explanation) -> String {
     let began = explanation.lines.first().map_or(0, |l| l.unix_ms);
+    let mut text = String::new();
     for (title, lines) in
         [("decisions", &explanation.lines), ("believed then", &explanation.beliefs)]
     {
         if lines.is_empty() {
             continue;
         }
-        writeln!(out, "{title}:")?;
+        text.push_str(&format!("{title}:\n"));
         for line in lines {
-            let mut fields = line.fields.clone();
-            if let Some(fields) = fields.as_object_mut() {
-                for name in ["unix_ms", "instance", "request"] {
-                    fields.remove(name);
-                }
-            }
-            writeln!(out, "{:+7} ms  {}  {fields}", line.unix_ms - began, line.instance)?;
+            text.push_str(&line.render(began, &["request"]));
         }
     }
-    writeln!(out, "{request}: {}", explanation.cause)
+    text.push_str(&format!("{request}: {}\n", explanation.cause));
+    text
 }
--- a/crates/hornbeamctl/src/lib.rs
+++ b/crates/hornbeamctl/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`control`]: replaces voters
 //! - [`status`]: what instances know
 //! - [`explain`]: what became of one request, from the logs
+//! - [`logs`]: structured logs of entries and controllers
 //! - [`events`]: events of one instance, or of all as a time line
 
 pub mod args;
@@ -16,6 +17,7 @@
 pub mod control;
 pub mod events;
 pub mod explain;
+pub mod logs;
 pub mod status;
 
 use args::{Args, Command};
@@ -27,9 +29,13 @@
 ///
 /// Why it did not succeed; [`Failure::exit_code`] gives the exit code.
 pub async fn run(args: &Args) -> Result<(), Failure> {
-    if let Command::Explain(command) = &args.command {
-        // It reads files and asks nobody.
-        return explain::run(command);
+    // These read files and ask nobody.
+    match &args.command {
+        Command::Explain(command) => return explain::run(command),
+        Command::Timeline(command) if !command.files.is_empty() => {
+            return logs::timeline(&command.files, command.json);
+        }
+        _ => {}
     }
     let client = client::Client::new(&args.instances, args.token_file.as_deref())?;
     match &args.command {
--- a/crates/hornbeamctl/src/status.rs
+++ b/crates/hornbeamctl/src/status.rs
@@ -1,5 +1,6 @@
 //! What instances know.
 
+use hornbeam_events::{out, outln};
 use std::fmt::Write;
 
 use reqwest::Method;
@@ -18,9 +19,9 @@
         statuses.push(status);
     }
     if args.json {
-        println!("{}", Value::Array(statuses));
+        outln!("{}", Value::Array(statuses));
     } else {
-        print!("{}", table(&statuses, args.servers));
+        out!("{}", table(&statuses, args.servers));
     }
     all_reached(missed)
 }
@@ -115,7 +116,7 @@
     };
     match client.send(Method::POST, *address, "/v1/drain", None::<&()>).await {
         Ok(reply) if reply.status().is_success() => {
-            println!("{}: draining", args.instance);
+            outln!("{}: draining", args.instance);
             Ok(())
         }
         Ok(reply) => Err(Failure::Refused(format!("{}: {}", args.instance, reply.status()))),
--- a/crates/hornbeamctl/tests/explanations.rs
+++ b/crates/hornbeamctl/tests/explanations.rs
@@ -1,6 +1,7 @@
 //! From the id of a failed request to its cause.
 
-use hornbeamctl::explain::{explain, parse, show};
+use hornbeamctl::explain::{explain, show};
+use hornbeamctl::logs::{parse, time_line};
 
 /// A search that came back short, a lookup that was turned away, and a write whose server broke off,
 /// as entries log them, among lines of other requests.
@@ -79,9 +80,7 @@
 
 #[test]
 fn shown_in_order() {
-    let mut out = Vec::new();
-    show(&mut out, "aaa", &explain("aaa", parse(LOGS))).unwrap();
-    let text = String::from_utf8(out).unwrap();
+    let text = show("aaa", &explain("aaa", parse(LOGS)));
     let first = text.lines().nth(1).unwrap();
     assert!(
         first.trim_start().starts_with("+0 ms  entry-1") && first.contains("admitted"),
@@ -89,3 +88,28 @@
     );
     assert!(text.lines().last().unwrap().starts_with("aaa: "), "{text}");
 }
+
+#[test]
+fn logs_in_one_order() {
+    let text = time_line(parse(LOGS));
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 12, "{text}");
+    assert!(lines[0].contains("+0 ms  entry-1") && lines[0].contains("feed_lost"), "{text}");
+    assert!(lines[8].contains("+1000 ms  entry-2"), "{text}");
+}
+
+/// A search whose groups of shards were collected by other entries.
+const GROUPS: &str = r#"
+{"unix_ms":5000,"instance":"entry-1","decision":"delegated","request":"eee","shards":90,"groups":10,"peers":17}
+{"unix_ms":5002,"instance":"entry-4","decision":"gathering","request":"eee","route":"sweep","due_ms":50,"shards":9,"sent":9,"waiting":0,"lacking":0}
+{"unix_ms":5030,"instance":"entry-1","decision":"group_failed","request":"eee","peer":"entry-9","reason":"not_begun","after_ms":30,"shards":9,"sent_from_here":9}
+{"unix_ms":5052,"instance":"entry-4","decision":"gathered","request":"eee","took_ms":50,"parts":7,"missing":2,"waiting":0,"late":2,"sends":11}
+{"unix_ms":5063,"instance":"entry-1","decision":"answered","request":"eee","route":"sweep","took_ms":63,"parts":88,"missing":2,"waiting":0,"late":2,"sends":99}
+"#;
+
+#[test]
+fn groups_of_other_entries() {
+    let cause = explain("eee", parse(GROUPS)).cause;
+    assert!(cause.contains("entry-9 did not collect 9 shards (not_begun)"), "{cause}");
+    assert!(cause.contains("entry-4 collected a group without 2 shards"), "{cause}");
+}
--- a/crates/hornbeamrun/src/demo.rs
+++ b/crates/hornbeamrun/src/demo.rs
@@ -4,6 +4,7 @@
 //! two index versions, one of them a straggler. Prints, for a plain query, one with a dead replica
 //! and one during an index change, the answer's coverage, snapshot and time, then the time line.
 
+use hornbeam_events::{out, outln};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -57,8 +58,8 @@
 }
 
 async fn demo() -> Result<(), Failure> {
-    println!("hornbeamrun demo: 3 instances in 2 availability zones, {SERVERS} stand-in backend");
-    println!("servers, {SHARDS} shards with {REPLICAS} replicas each, one server a straggler\n");
+    outln!("hornbeamrun demo: 3 instances in 2 availability zones, {SERVERS} stand-in backend");
+    outln!("servers, {SHARDS} shards with {REPLICAS} replicas each, one server a straggler\n");
     let stage = Stage::build().await?;
     stage.settle(OLD_INDEX).await?;
     for _ in 0..WARM_UP {
@@ -69,10 +70,10 @@
     stage.show("query with a dead replica", 0).await?;
     stage.show_index_change().await?;
     let events = stage.events().await?;
-    println!("\ntime line of all instances:");
-    print!("{}", timeline::render(&timeline::merge(events)));
+    outln!("\ntime line of all instances:");
+    out!("{}", timeline::render(&timeline::merge(events)));
     stage.shut_down().await;
-    println!("\nevery answer above states its snapshot and coverage; exit 0");
+    outln!("\nevery answer above states its snapshot and coverage; exit 0");
     Ok(())
 }
 
@@ -267,16 +268,16 @@
 }
 
 fn print_answer(what: &str, answer: &serde_json::Value) {
-    println!("{what}:");
+    outln!("{what}:");
     if let Some(error) = answer.get("error") {
-        println!("  refused: {error}");
+        outln!("  refused: {error}");
         return;
     }
     let coverage = &answer["coverage"];
-    println!("  complete {}, shards covered {}", answer["complete"], coverage["covered"]);
-    println!("  lacking {}, snapshot {}", coverage["lacking"], answer["snapshot"]);
-    println!("  hits {}", answer["hits"].as_array().map_or(0, Vec::len));
-    println!(
+    outln!("  complete {}, shards covered {}", answer["complete"], coverage["covered"]);
+    outln!("  lacking {}, snapshot {}", coverage["lacking"], answer["snapshot"]);
+    outln!("  hits {}", answer["hits"].as_array().map_or(0, Vec::len));
+    outln!(
         "  attempts {}, {:.1} ms",
         answer["attempts"],
         answer["took_ms"].as_f64().unwrap_or(0.0)
--- a/crates/hornbeamrun/src/load.rs
+++ b/crates/hornbeamrun/src/load.rs
@@ -1,5 +1,6 @@
 //! Sends queries and prints what came back.
 
+use hornbeam_events::outln;
 use std::time::Duration;
 
 use hornbeam_standin::LoadPlan;
@@ -30,6 +31,6 @@
     };
     let report = crate::runtime(2)?.block_on(hornbeam_standin::load::run(&plan));
     let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
-    println!("{text}");
+    outln!("{text}");
     Ok(())
 }
--- a/crates/hornbeamrun/src/serve.rs
+++ b/crates/hornbeamrun/src/serve.rs
@@ -1,5 +1,6 @@
 //! Runs an instance until it is told to stop.
 
+use hornbeam_events::outln;
 use hornbeam_node::{Node, logging};
 use hornbeam_settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
@@ -10,7 +11,7 @@
 /// Checks a settings file and says what it found.
 pub fn check(args: &CheckArgs) -> Result<(), String> {
     let settings = Settings::read(&args.settings).map_err(|e| e.to_string())?;
-    println!(
+    outln!(
         "{}: instance {} of zone {}, {} peers, {} voters: ok",
         args.settings.display(),
         settings.instance,
--- a/crates/hornbeamrun/src/standins.rs
+++ b/crates/hornbeamrun/src/standins.rs
@@ -1,5 +1,6 @@
 //! Runs stand-in backend servers.
 
+use hornbeam_events::outln;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -36,7 +37,7 @@
             let params = params(args, i, &registrars)?;
             StandIn::start(params).await.map_err(|e| e.to_string())?;
         }
-        println!("{} stand-ins run; stop them with ctrl-c", args.count);
+        outln!("{} stand-ins run; stop them with ctrl-c", args.count);
         tokio::signal::ctrl_c().await.map_err(|e| e.to_string())
     })
 }
--- a/crates/hornbeamrun/tests/processes.rs
+++ b/crates/hornbeamrun/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Real processes: killed, frozen, without their disk, told to stop under load.
 
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -346,3 +347,23 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(text.contains("bad.yaml:3: http") && text.contains("name the port"), "{text}");
 }
+
+#[test]
+fn closed_pipe() {
+    let mut child = Command::new(BIN)
+        .arg("demo")
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut out = BufReader::new(child.stdout.take().unwrap());
+    let mut line = String::new();
+    out.read_line(&mut line).unwrap();
+    assert!(line.contains("demo"), "{line}");
+    // What reads has seen enough, like `head -1`.
+    drop(out);
+    let mut complaint = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut complaint).unwrap();
+    assert!(child.wait().unwrap().success(), "{complaint}");
+    assert!(!complaint.contains("panicked"), "{complaint}");
+}
