One copy of how programs start, register metrics and give up a waiting shard

Change: hornbeam_node::program::run, hornbeam_node::exposition, Engine::pick_again, send_if_allowed and give_up_waiter. Behaviour is as it was. Test: the tests of route, node, entry and controller pass as before.

--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of one controller.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use hornbeam_node::exposition::{register, text};
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
 /// All metrics of one controller.
 #[derive(Clone, Debug)]
@@ -24,13 +25,8 @@
     fn default() -> Self {
         let registry = Registry::new();
         let calls = Opts::new("hornbeam_controller_calls_total", "Calls taken.");
-        let calls = IntCounterVec::new(calls, &["kind"]).expect("the name is a valid constant");
-        registry.register(Box::new(calls.clone())).expect("each name is registered once");
-        let gauge = |name: &str, help: &str| {
-            let metric = IntGauge::new(name, help).expect("the name is a valid constant");
-            registry.register(Box::new(metric.clone())).expect("each name is registered once");
-            metric
-        };
+        let calls = register(&registry, IntCounterVec::new(calls, &["kind"]));
+        let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
         Self {
             calls,
             servers: gauge("hornbeam_controller_servers", "Servers known."),
@@ -46,10 +42,6 @@
 impl Metrics {
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics cannot be encoded: {e}");
-        }
-        text
+        text(&self.registry)
     }
 }
--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -8,7 +8,7 @@
 use hornbeam_node::clock::{Clock, unix_us};
 use hornbeam_node::control::net::{Incoming, Net, NetParams};
 use hornbeam_node::journal::EventLog;
-use hornbeam_node::program::{BindSnafu, ProgramError, SettingsSnafu, StartSnafu};
+use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_settings::FleetSettings;
@@ -33,13 +33,7 @@
 ///
 /// The settings, an address or the runtime is missing.
 pub fn run(file: &Path, dialect: Dialect) -> Result<(), ProgramError> {
-    let settings = FleetSettings::read(file).context(SettingsSnafu)?;
-    let log = StructuredLog::start(settings.instance.as_str());
-    log.install(log::LevelFilter::Info);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.context(StartSnafu { what: "the runtime" })?;
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, serve(settings, file, dialect, log))
+    program::run(file, |settings, log| serve(settings, file, dialect, log))
 }
 
 async fn serve(
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of one entry.
 
+use hornbeam_node::exposition::{register, text};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
 /// Bucket bounds of latencies, in seconds.
@@ -68,22 +68,9 @@
     }
 }
 
-fn register<M: prometheus::core::Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: prometheus::Result<M>,
-) -> M {
-    let metric = metric.expect("names and labels are valid constants");
-    registry.register(Box::new(metric.clone())).expect("each name is registered once");
-    metric
-}
-
 impl Metrics {
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics cannot be encoded: {e}");
-        }
-        text
+        text(&self.registry)
     }
 }
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -8,7 +8,7 @@
 
 use hornbeam_node::clock::Clock;
 use hornbeam_node::pages::{Pages, serve};
-use hornbeam_node::program::{BindSnafu, ProgramError, SettingsSnafu, StartSnafu};
+use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::Trouble;
@@ -53,13 +53,7 @@
 ///
 /// The settings, an address or a thread is missing.
 pub fn run(file: &Path, dialect: Dialect) -> Result<(), ProgramError> {
-    let settings = FleetSettings::read(file).context(SettingsSnafu)?;
-    let log = StructuredLog::start(settings.instance.as_str());
-    log.install(log::LevelFilter::Info);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.context(StartSnafu { what: "the runtime" })?;
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, serve_entry(settings, file, dialect, log))
+    program::run(file, |settings, log| serve_entry(settings, file, dialect, log))
 }
 
 fn engine_params(settings: &FleetSettings) -> EngineParams {
--- a/crates/hornbeam_node/src/lib.rs
+++ b/crates/hornbeam_node/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`clock`]: monotonic and wall time
 //! - [`journal`]: the event journal, shared by the threads
 //! - [`metrics`]: Prometheus metrics
+//! - [`exposition`]: metrics as text
 //! - [`backends`]: connections to backend servers
 //! - [`traffic`]: runs the engine
 //! - [`control`]: runs membership and configuration on a thread of its own
@@ -20,6 +21,7 @@
 pub mod backends;
 pub mod clock;
 pub mod control;
+pub mod exposition;
 pub mod frames;
 pub mod http;
 pub mod journal;
--- a/crates/hornbeam_node/src/metrics.rs
+++ b/crates/hornbeam_node/src/metrics.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
 };
 
+use crate::exposition::{register, text};
+
 use crate::traffic::ServerReport;
 
 /// Bucket bounds of latencies, in seconds.
@@ -62,29 +64,20 @@
 }
 
 fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    let metric = IntCounter::new(name, help).expect("the name is a valid constant");
-    registry.register(Box::new(metric.clone())).expect("each name is registered once");
-    metric
+    register(registry, IntCounter::new(name, help))
 }
 
 fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
-    let metric =
-        IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is a valid constant");
-    registry.register(Box::new(metric.clone())).expect("each name is registered once");
-    metric
+    register(registry, IntCounterVec::new(Opts::new(name, help), &[label]))
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let metric = IntGauge::new(name, help).expect("the name is a valid constant");
-    registry.register(Box::new(metric.clone())).expect("each name is registered once");
-    metric
+    register(registry, IntGauge::new(name, help))
 }
 
 fn histograms(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> HistogramVec {
     let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-    let metric = HistogramVec::new(opts, &["service"]).expect("the name is a valid constant");
-    registry.register(Box::new(metric.clone())).expect("each name is registered once");
-    metric
+    register(registry, HistogramVec::new(opts, &["service"]))
 }
 
 impl Default for Metrics {
@@ -92,14 +85,10 @@
         let r = Registry::new();
         let step = HistogramOpts::new("hornbeam_step_seconds", "Time of one decision step")
             .buckets(vec![0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01]);
-        let step_seconds = Histogram::with_opts(step).expect("the name is a valid constant");
-        r.register(Box::new(step_seconds.clone())).expect("each name is registered once");
-        let outstanding = IntGaugeVec::new(
-            Opts::new("hornbeam_server_outstanding", "Attempts out at each backend server"),
-            &["server"],
-        )
-        .expect("the name is a valid constant");
-        r.register(Box::new(outstanding.clone())).expect("each name is registered once");
+        let step_seconds = register(&r, Histogram::with_opts(step));
+        let outstanding =
+            Opts::new("hornbeam_server_outstanding", "Attempts out at each backend server");
+        let outstanding = register(&r, IntGaugeVec::new(outstanding, &["server"]));
         Self {
             query_seconds: histograms(
                 &r,
@@ -170,10 +159,7 @@
 
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> String {
-        let mut buf = Vec::new();
-        if TextEncoder::new().encode(&self.registry.gather(), &mut buf).is_err() {
-            return String::new();
-        }
-        String::from_utf8(buf).unwrap_or_default()
+        // The encoder writes text only.
+        String::from_utf8(text(&self.registry)).unwrap_or_default()
     }
 }
--- a/crates/hornbeam_node/src/program.rs
+++ b/crates/hornbeam_node/src/program.rs
@@ -1,14 +1,16 @@
-//! What entries and controllers have in common: why one cannot start, and what it watches while it runs.
+//! What entries and controllers have in common: how one starts, why it cannot, and what it watches while
+//! it runs.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use hornbeam_model::Mono;
 use hornbeam_settings::{FleetSettings, SettingsError};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 
 use crate::clock::suspended;
+use crate::structured::StructuredLog;
 
 /// Time between two looks at the settings file.
 const SETTINGS_EVERY: Duration = Duration::from_secs(1);
@@ -51,6 +53,24 @@
     },
 }
 
+/// Reads the settings, starts the log and runs a program on one thread until it ends.
+///
+/// # Errors
+///
+/// The settings or the runtime is missing, or the program cannot start.
+pub fn run<F: Future<Output = Result<(), ProgramError>>>(
+    file: &Path,
+    serve: impl FnOnce(FleetSettings, StructuredLog) -> F,
+) -> Result<(), ProgramError> {
+    let settings = FleetSettings::read(file).context(SettingsSnafu)?;
+    let log = StructuredLog::start(settings.instance.as_str());
+    log.install(log::LevelFilter::Info);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.context(StartSnafu { what: "the runtime" })?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, serve(settings, log))
+}
+
 /// Looks for changes of the settings file.
 #[derive(Debug)]
 pub struct SettingsWatch {
--- a/crates/hornbeam_route/src/engine/placing.rs
+++ b/crates/hornbeam_route/src/engine/placing.rs
@@ -75,19 +75,9 @@
         let Some(running) = self.requests.get(&key) else { return true };
         let c = &running.cells[cell];
         let (service, used, due) = (c.service, c.used.clone(), running.answer_by);
-        let mut pick = self.pick(now, service, &used, due);
-        if pick == Pick::Avoided && !used.is_empty() {
-            // A server that it was sent to and that did not run it may take it now.
-            pick = self.pick(now, service, &[], due);
-        }
-        match pick {
+        match self.pick_again(now, service, &used, due) {
             Pick::Server(server, cost) => {
-                let kind = self.kind_of_next(key, cell);
-                if kind == SendKind::Retry && !self.retry_allowed(now, key, service) {
-                    return false;
-                }
-                self.send(now, Choice { key, cell, server, kind, cost }, out);
-                true
+                self.send_if_allowed(now, (key, cell), (server, cost), out)
             }
             Pick::Full => {
                 self.wait(key, cell);
@@ -97,6 +87,32 @@
         }
     }
 
+    /// The server of least cost that was not used, or else one that was: it did not run the shard and
+    /// may take it now.
+    fn pick_again(&mut self, now: Mono, service: usize, used: &[usize], due: Mono) -> Pick {
+        match self.pick(now, service, used, due) {
+            Pick::Avoided if !used.is_empty() => self.pick(now, service, &[], due),
+            pick => pick,
+        }
+    }
+
+    /// Sends a shard to the server chosen for it; false if the budget does not allow that.
+    fn send_if_allowed(
+        &mut self,
+        now: Mono,
+        (key, cell): (QueryId, usize),
+        (server, cost): (usize, f64),
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let kind = self.kind_of_next(key, cell);
+        let service = self.servers[server].service;
+        if kind == SendKind::Retry && !self.retry_allowed(now, key, service) {
+            return false;
+        }
+        self.send(now, Choice { key, cell, server, kind, cost }, out);
+        true
+    }
+
     fn kind_of_next(&self, key: QueryId, cell: usize) -> SendKind {
         let running = self.requests.get(&key);
         match running.map_or(0, |r| r.cells[cell].arrivals) {
@@ -213,30 +229,19 @@
                 self.services[service].waiters.remove(&first);
                 continue;
             };
-            let pick = match self.pick(now, service, &used, first.due) {
-                Pick::Avoided if !used.is_empty() => self.pick(now, service, &[], first.due),
-                pick => pick,
-            };
-            match pick {
+            match self.pick_again(now, service, &used, first.due) {
                 Pick::Server(server, cost) => {
                     self.services[service].waiters.remove(&first);
-                    let kind = self.kind_of_next(first.request, first.cell);
+                    let (key, cell) = (first.request, first.cell);
                     // It may have waited since the budget was last asked.
-                    if kind == SendKind::Retry && !self.retry_allowed(now, first.request, service) {
-                        self.set_lacking(first.request, first.cell);
-                        self.settle(now, first.request, out);
-                        continue;
+                    if self.send_if_allowed(now, (key, cell), (server, cost), out) {
+                        self.arm(key);
+                    } else {
+                        self.give_up_waiter(now, &first, out);
                     }
-                    let (key, cell) = (first.request, first.cell);
-                    self.send(now, Choice { key, cell, server, kind, cost }, out);
-                    self.arm(first.request);
                 }
                 Pick::Full => return,
-                Pick::Avoided => {
-                    self.services[service].waiters.remove(&first);
-                    self.set_lacking(first.request, first.cell);
-                    self.settle(now, first.request, out);
-                }
+                Pick::Avoided => self.give_up_waiter(now, &first, out),
             }
         }
         self.services[service].standing = false;
@@ -250,12 +255,17 @@
                 return;
             }
             self.services[service].standing = true;
-            self.services[service].waiters.remove(&first);
-            self.set_lacking(first.request, first.cell);
-            self.settle(now, first.request, out);
+            self.give_up_waiter(now, &first, out);
         }
     }
 
+    /// Takes a shard out of the queue for good.
+    fn give_up_waiter(&mut self, now: Mono, waiter: &Waiter, out: &mut Vec<Output>) {
+        self.stop_waiting(waiter.request, waiter.cell);
+        self.set_lacking(waiter.request, waiter.cell);
+        self.settle(now, waiter.request, out);
+    }
+
     /// True if a shard that waited would come too late while others behind it can still be in time, or
     /// if it was passed over for long in a standing queue.
     fn would_be_late(&self, now: Mono, service: usize, waiter: &Waiter) -> bool {
