Bounds of the log are settings

Cause: the cost of the log could not be measured on and off, and its bounds were constants. Change: `log: {failures_per_s, others_per_s}` for entries and controllers; zero switches a kind off. The entry binds its inner port by the same rule as the controller.

--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -99,7 +99,7 @@
         let pages = metrics_pages(&core);
         serve(address, pages).await.context(BindSnafu { field: "metrics", address })?;
     }
-    let inner = SocketAddr::new(settings.bind.unwrap_or(settings.address), settings.inner_port);
+    let inner = settings.bound(SocketAddr::new(settings.address, settings.inner_port));
     let groups = TcpListener::bind(inner).await;
     let groups = groups.context(BindSnafu { field: "inner_port", address: inner })?;
     tokio::task::spawn_local(mergers::accept(core.clone(), groups));
--- a/crates/hornbeam_node/src/program.rs
+++ b/crates/hornbeam_node/src/program.rs
@@ -63,7 +63,7 @@
     serve: impl FnOnce(FleetSettings, StructuredLog) -> F,
 ) -> Result<(), ProgramError> {
     let settings = FleetSettings::read(file).context(SettingsSnafu)?;
-    let log = StructuredLog::start(settings.instance.as_str());
+    let log = StructuredLog::start(settings.instance.as_str(), settings.log);
     log.install(log::LevelFilter::Info);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.context(StartSnafu { what: "the runtime" })?;
--- a/crates/hornbeam_node/src/structured.rs
+++ b/crates/hornbeam_node/src/structured.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use hornbeam_settings::LogRates;
 use serde::Serialize;
 
 use crate::clock::unix_ms;
@@ -21,10 +22,6 @@
 const COLLECT: Duration = Duration::from_millis(50);
 /// Longest line of collected ones, in bytes.
 const WRITE_BYTES: usize = 64 << 10;
-/// Lines a second of one kind that tells of a failure.
-const FAILURE_LINES: f64 = 40.0;
-/// Lines a second of any other kind.
-const ORDINARY_LINES: f64 = 10.0;
 /// Seconds of unused lines that are saved up.
 const SAVED_SECONDS: f64 = 2.0;
 
@@ -54,15 +51,21 @@
 }
 
 /// Bounds the lines of each kind.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LineBudget {
+    rates: LogRates,
     kinds: HashMap<&'static str, Allowance>,
 }
 
 impl LineBudget {
+    /// A budget that nothing was taken from.
+    pub fn new(rates: LogRates) -> Self {
+        Self { rates, kinds: HashMap::new() }
+    }
+
     /// The number of lines left out before this one, or nothing if this one is left out too.
     pub fn take(&mut self, kind: &'static str, is_failure: bool, now: Instant) -> Option<u64> {
-        let rate = if is_failure { FAILURE_LINES } else { ORDINARY_LINES };
+        let rate = if is_failure { self.rates.failures_per_s } else { self.rates.others_per_s };
         let most = rate * SAVED_SECONDS;
         let allowance = self.kinds.entry(kind).or_insert_with(|| Allowance {
             lines: most,
@@ -93,15 +96,16 @@
 
 impl StructuredLog {
     /// Starts the thread that writes to standard output.
-    pub fn start(instance: &str) -> Self {
+    pub fn start(instance: &str, rates: LogRates) -> Self {
         let (tx, rx) = sync_channel(QUEUE_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let counter = dropped.clone();
+        let budget = Arc::new(Mutex::new(LineBudget::new(rates)));
         let thread = std::thread::Builder::new().name("log".to_owned());
         if let Err(e) = thread.spawn(move || write_lines(&rx, &counter)) {
             log::error!("the log thread cannot start ({e}): decisions are not logged");
         }
-        Self { instance: instance.into(), tx, dropped, budget: Arc::default() }
+        Self { instance: instance.into(), tx, dropped, budget }
     }
 
     /// Writes a line unless its kind has used up its allowance.
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -38,6 +38,23 @@
     }
 }
 
+/// Log lines a second of one kind; what is more is counted and left out.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LogRates {
+    /// Of a kind that tells of a failure.
+    pub failures_per_s: f64,
+    /// Of any other kind; zero writes none of them.
+    pub others_per_s: f64,
+}
+
+impl Default for LogRates {
+    /// Enough to follow some requests a second whole; a tenth of a core writes them in 1 % of its time.
+    fn default() -> Self {
+        Self { failures_per_s: 40.0, others_per_s: 10.0 }
+    }
+}
+
 /// Settings of one entry or controller.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -86,6 +103,9 @@
     /// Extra requests of the whole fleet.
     #[serde(default)]
     pub budget: ExtraBudget,
+    /// Bounds of the log.
+    #[serde(default)]
+    pub log: LogRates,
     /// Shards of a search above which other entries of the zone collect groups of them.
     #[serde(default = "default_delegate_above")]
     pub delegate_above: usize,
@@ -134,6 +154,10 @@
         if !(0.0..=1.0).contains(&self.budget.ratio) {
             return refuse("budget", "ratio is a share of the requests", "use 0 to 1");
         }
+        let rates = [self.log.failures_per_s, self.log.others_per_s];
+        if rates.iter().any(|r| !r.is_finite() || *r < 0.0) {
+            return refuse("log", "a rate is not a number of lines", "use 0 or more");
+        }
         if self.budget.window_s == 0 {
             return refuse("budget", "window_s is zero", "use at least 1");
         }
