Entries that tell nothing of their groups are suspected and asked on a new connection

Cause: reading on after the groups: a connection may carry nothing any more without a reset. The group on it was begun, so it was not taken back, and each search gave that entry another one; a probe went over the same connection and restored nobody. Change: groups are reported once when they are due even if nothing is in; entries that have told nothing by the time the answer is due are suspected; a probe opens a new connection.

--- a/crates/hornbeam_entry/src/mergers.rs
+++ b/crates/hornbeam_entry/src/mergers.rs
@@ -3,7 +3,7 @@
 //! - this entry gives groups away on connections that it opens, one to each other entry
 //! - it collects the groups of others that come on connections to its inner port
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,8 +24,16 @@
 /// Wait after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Names one connection that this entry has opened.
+type LinkId = u64;
+
 /// The connection to another entry.
-enum Link {
+struct Link {
+    id: LinkId,
+    state: LinkState,
+}
+
+enum LinkState {
     /// It is being opened; these wait for it.
     Opening(Vec<GatherUp>),
     Open(Rc<Line>),
@@ -43,8 +51,9 @@
     me: InstanceId,
     key: FrameKey,
     links: RefCell<HashMap<InstanceId, Link>>,
-    /// Groups given away and to whom.
-    given: RefCell<HashMap<AttemptId, InstanceId>>,
+    next_link: Cell<LinkId>,
+    /// Groups given away, to whom and on which connection.
+    given: RefCell<HashMap<AttemptId, (InstanceId, LinkId)>>,
     collected: RefCell<HashMap<QueryId, Collected>>,
     /// Connections of others.
     lines: RefCell<Vec<Rc<Line>>>,
@@ -57,6 +66,7 @@
             me,
             key,
             links: RefCell::default(),
+            next_link: Cell::default(),
             given: RefCell::default(),
             collected: RefCell::default(),
             lines: RefCell::default(),
@@ -65,7 +75,6 @@
 
     /// Gives a group to another entry.
     pub fn give(&self, core: &Rc<Core>, delegation: Delegation, parts: &RequestParts) {
-        self.given.borrow_mut().insert(delegation.group, delegation.peer.clone());
         let request = GatherRequest {
             group: delegation.group.0,
             request: parts.id.clone(),
@@ -76,49 +85,83 @@
             left_us: delegation.left.as_micros() as u64,
         };
         let message = GatherUp::Gather(Box::new(request));
-        self.tell(core, &delegation.peer, delegation.address, message);
+        let link = self.tell(core, &delegation.peer, delegation.address, message);
+        self.given.borrow_mut().insert(delegation.group, (delegation.peer, link));
     }
 
     /// Leaves a group to the entry that has begun with it.
     pub fn confirm(&self, group: AttemptId) {
-        let (given, links) = (self.given.borrow(), self.links.borrow());
-        if let Some(Link::Open(line)) = given.get(&group).and_then(|p| links.get(p)) {
+        let given = self.given.borrow();
+        let Some((peer, id)) = given.get(&group) else { return };
+        if let Some(line) = self.open_line(peer, *id) {
             line.send(&GatherUp::Confirm { group: group.0 });
         }
     }
 
     /// Takes back a group that was given away.
     pub fn cancel(&self, group: AttemptId) {
-        let Some(peer) = self.given.borrow_mut().remove(&group) else { return };
+        let Some((peer, id)) = self.given.borrow_mut().remove(&group) else { return };
+        if let Some(line) = self.open_line(&peer, id) {
+            return line.send(&GatherUp::Cancel { group: group.0 });
+        }
         let cancelled = |m: &GatherUp| matches!(m, GatherUp::Gather(g) if g.group == group.0);
-        match self.links.borrow_mut().get_mut(&peer) {
-            Some(Link::Open(line)) => line.send(&GatherUp::Cancel { group: group.0 }),
-            Some(Link::Opening(waiting)) => waiting.retain(|m| !cancelled(m)),
-            None => {}
+        if let Some(Link { state: LinkState::Opening(waiting), .. }) =
+            self.links.borrow_mut().get_mut(&peer)
+        {
+            waiting.retain(|m| !cancelled(m));
+        }
+    }
+
+    fn open_line(&self, peer: &InstanceId, id: LinkId) -> Option<Rc<Line>> {
+        match self.links.borrow().get(peer) {
+            Some(Link { id: open, state: LinkState::Open(line) }) if *open == id => {
+                Some(line.clone())
+            }
+            _ => None,
         }
     }
 
-    /// Asks another entry whether it is there.
+    /// Asks an entry that was not heard whether it is there, on a new connection: one that carries
+    /// nothing any more looks like an entry that is gone.
     pub fn probe(&self, core: &Rc<Core>, peer: &InstanceId, address: SocketAddr) {
+        let mut links = self.links.borrow_mut();
+        if let Some(Link { state: LinkState::Open(line), .. }) = links.get(peer) {
+            line.close();
+            links.remove(peer);
+        }
+        drop(links);
         self.tell(core, peer, address, GatherUp::Probe);
     }
 
-    fn tell(&self, core: &Rc<Core>, peer: &InstanceId, address: SocketAddr, message: GatherUp) {
+    /// Sends a message on the connection to an entry, and opens it if there is none.
+    fn tell(
+        &self,
+        core: &Rc<Core>,
+        peer: &InstanceId,
+        address: SocketAddr,
+        message: GatherUp,
+    ) -> LinkId {
         let mut links = self.links.borrow_mut();
-        match links.get_mut(peer) {
-            Some(Link::Open(line)) => return line.send(&message),
-            Some(Link::Opening(waiting)) => return waiting.push(message),
-            None => {}
+        if let Some(link) = links.get_mut(peer) {
+            match &mut link.state {
+                LinkState::Open(line) => line.send(&message),
+                LinkState::Opening(waiting) => waiting.push(message),
+            }
+            return link.id;
         }
-        links.insert(peer.clone(), Link::Opening(vec![message]));
+        let id = self.next_link.get();
+        self.next_link.set(id + 1);
+        let state = LinkState::Opening(vec![message]);
+        links.insert(peer.clone(), Link { id, state });
         let (core, peer) = (core.clone(), peer.clone());
-        tokio::task::spawn_local(async move { keep_link(&core, &peer, address).await });
+        tokio::task::spawn_local(async move { keep_link(&core, &peer, id, address).await });
+        id
     }
 
     /// Closes the connections to entries that are not among `peers` any more.
     pub fn keep_only(&self, peers: &[InstanceId]) {
         for (name, link) in &*self.links.borrow() {
-            if let Link::Open(line) = link
+            if let LinkState::Open(line) = &link.state
                 && !peers.contains(name)
             {
                 line.close();
@@ -126,13 +169,18 @@
         }
     }
 
-    /// A group given to `peer` that is not given to it any more.
-    fn lost(&self, peer: &InstanceId) -> Vec<AttemptId> {
+    /// Takes out a connection that has ended; the groups that were given on it.
+    fn end(&self, peer: &InstanceId, id: LinkId) -> Vec<AttemptId> {
+        let mut links = self.links.borrow_mut();
+        // Another one may have been opened since.
+        if links.get(peer).is_some_and(|l| l.id == id) {
+            links.remove(peer);
+        }
         let mut given = self.given.borrow_mut();
-        let lost = given.iter().filter(|(_, p)| *p == peer).map(|(group, _)| *group);
+        let lost = given.iter().filter(|(_, (_, link))| *link == id).map(|(group, _)| *group);
         let mut lost: Vec<AttemptId> = lost.collect();
         lost.sort_unstable();
-        given.retain(|_, p| p != peer);
+        given.retain(|_, (_, link)| *link != id);
         lost
     }
 
@@ -169,7 +217,7 @@
 }
 
 /// Opens the connection to another entry and carries its messages until it ends.
-async fn keep_link(core: &Rc<Core>, peer: &InstanceId, address: SocketAddr) {
+async fn keep_link(core: &Rc<Core>, peer: &InstanceId, id: LinkId, address: SocketAddr) {
     let mergers = &core.mergers;
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let line = match connect.await {
@@ -177,17 +225,18 @@
         _ => None,
     };
     let Some(line) = line.map(Rc::new) else {
-        mergers.links.borrow_mut().remove(peer);
-        for group in mergers.lost(peer) {
+        for group in mergers.end(peer, id) {
             core.step(Input::Group { group, news: GroupNews::Unsent });
         }
         return;
     };
     line.send(&GatherUp::Hello { entry: mergers.me.clone() });
-    let waiting = mergers.links.borrow_mut().insert(peer.clone(), Link::Open(line.clone()));
-    if let Some(Link::Opening(waiting)) = waiting {
-        for message in waiting {
-            line.send(&message);
+    if let Some(link) = mergers.links.borrow_mut().get_mut(peer).filter(|l| l.id == id) {
+        let open = LinkState::Open(line.clone());
+        if let LinkState::Opening(waiting) = std::mem::replace(&mut link.state, open) {
+            for message in waiting {
+                line.send(&message);
+            }
         }
     }
     let end = line.run(|batch: Vec<GatherDown>| {
@@ -196,9 +245,8 @@
         }
     });
     let end = end.await;
-    mergers.links.borrow_mut().remove(peer);
     core.note_line_lost(peer, &end);
-    for group in mergers.lost(peer) {
+    for group in mergers.end(peer, id) {
         core.step(Input::Group { group, news: GroupNews::Lost });
     }
 }
--- a/crates/hornbeam_route/src/engine/delegating.rs
+++ b/crates/hornbeam_route/src/engine/delegating.rs
@@ -34,6 +34,8 @@
     cells: Vec<usize>,
     /// True once the other entry has said that it began.
     begun: bool,
+    /// True once it has told of the parts, be it that none is in.
+    reported: bool,
     sent_at: Mono,
 }
 
@@ -106,6 +108,7 @@
             peer: peer.name.clone(),
             cells: cells.to_vec(),
             begun: false,
+            reported: false,
             sent_at: now,
         };
         self.groups.insert(group, flight);
@@ -156,9 +159,10 @@
         last: bool,
         out: &mut Vec<Output>,
     ) {
-        let Some(flight) = self.groups.get(&group) else { return };
-        let (key, cells) = (flight.request, flight.cells.clone());
-        self.hear_peer(&flight.peer.clone(), out);
+        let Some(flight) = self.groups.get_mut(&group) else { return };
+        flight.reported = true;
+        let (key, cells, peer) = (flight.request, flight.cells.clone(), flight.peer.clone());
+        self.hear_peer(&peer, out);
         let Some(running) = self.requests.get_mut(&key) else { return };
         for cell in shards.iter().filter_map(|s| cells.get(*s)) {
             let cell = &mut running.cells[*cell];
@@ -250,6 +254,17 @@
         }
     }
 
+    /// Suspects the entries that have told nothing of their groups by the time the answer is due: they
+    /// are cut off, or their connection carries nothing any more.
+    pub(super) fn note_silent_peers(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
+        let Some(running) = self.requests.get(&key) else { return };
+        let flights = running.groups.iter().filter_map(|g| self.groups.get(g));
+        let silent = flights.filter(|f| !f.reported).map(|f| f.peer.clone());
+        for peer in silent.collect::<Vec<_>>() {
+            self.suspect_peer(now, &peer, out);
+        }
+    }
+
     fn suspect_peer(&mut self, now: Mono, peer: &InstanceId, out: &mut Vec<Output>) {
         if self.peers.suspect(now, peer) {
             out.push(Output::Log(Decision::PeerSuspected { peer: peer.clone() }));
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -59,6 +59,7 @@
             groups: Vec::new(),
             take_back_at: None,
             untold: Some(Vec::new()),
+            told: false,
             confirmed: false,
             route: asked.route,
         };
@@ -77,7 +78,10 @@
             return self.end_gathering(now, key, out);
         }
         let Some(untold) = running.untold.as_mut() else { return };
-        if now >= running.answer_by && !untold.is_empty() {
+        let due = now >= running.answer_by;
+        // Also if nothing is in: it shows that this entry is at work.
+        if due && (!untold.is_empty() || !std::mem::replace(&mut running.told, true)) {
+            running.told = true;
             let parts = std::mem::take(untold);
             let limit = running.limit();
             let waits = self.waits_of(key);
--- a/crates/hornbeam_route/src/engine/intake.rs
+++ b/crates/hornbeam_route/src/engine/intake.rs
@@ -77,6 +77,7 @@
             groups: Vec::new(),
             take_back_at: None,
             untold: None,
+            told: false,
             confirmed: true,
             route,
         };
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -497,6 +497,7 @@
         if now >= running.answer_by && !running.overdue {
             running.overdue = true;
             self.note_overdue(now, key, out);
+            self.note_silent_peers(now, key, out);
             if self.on_answer_due(now, key, out) {
                 return;
             }
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -172,6 +172,8 @@
     /// Shards that are in and not told yet, with their attempts; only for a group that this entry
     /// collects for another one.
     pub untold: Option<Vec<(usize, AttemptId)>>,
+    /// True once the entry that asked was told what is in.
+    pub told: bool,
     /// False for a group until the entry that asked has confirmed that it was not taken back: until then
     /// each shard goes to one server only, since that entry may send it to another.
     pub confirmed: bool,
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -94,6 +94,8 @@
     Frozen,
     /// Takes no groups.
     Leaving,
+    /// Begins with groups, and its reports are lost.
+    Unheard,
 }
 
 /// How a request ended.
@@ -440,6 +442,7 @@
             Told::Probe(from) if self.entry_faults[entry] == EntryFault::Leaving => {
                 self.tell(from, entry, Told::Leaving(entry));
             }
+            Told::Probe(_) if self.entry_faults[entry] == EntryFault::Unheard => {}
             Told::Probe(from) => self.tell(from, entry, Told::Heard(entry)),
         }
     }
@@ -564,6 +567,7 @@
             Output::ProbePeer { peer, .. } => {
                 self.tell(entry_number(&peer), entry, Told::Probe(entry));
             }
+            Output::Parts { .. } if self.entry_faults[entry] == EntryFault::Unheard => {}
             Output::Parts { request, parts, waits, last, .. } => {
                 let Some((to, group)) = self.gathers.get(&request).copied() else { return };
                 if last {
--- a/crates/hornbeam_route/tests/delegated.rs
+++ b/crates/hornbeam_route/tests/delegated.rs
@@ -76,6 +76,21 @@
     assert!(failures(&world, GroupFailure::NotBegun) < ENTRIES, "it is asked again and again");
 }
 
+#[test]
+fn unheard_entry() {
+    let mut world = grown(8);
+    world.introduce();
+    run(&mut world, SECOND);
+    world.entry_faults[0] = EntryFault::Unheard;
+    world.ended.clear();
+    world.decisions.clear();
+    world.load(0, SWEEPS, 10 * SECOND);
+    world.run(12 * SECOND);
+    // Each of the eight others of its zone loses one search before it suspects the entry.
+    let lost = world.ended.iter().filter(|e| e.took > 80 * MS || e.parts < 86).count();
+    assert!(lost <= ENTRIES / 2 + 4, "{lost} of {} searches were lost", world.ended.len());
+}
+
 #[test]
 fn leaving_entry() {
     let mut world = grown(3);
