--- a/crates/hornbeam_node/src/structured.rs
+++ b/crates/hornbeam_node/src/structured.rs
@@ -139,7 +139,7 @@
             .level_for("event", level)
             .chain(fern::Output::call(move |record| log.write_record(record)));
         if dispatch.apply().is_err() {
-            self.queue(r#"{"message":"another logger is installed already"}"#.to_owned());
+            log::warn!("another logger is installed already: its output has the messages");
         }
     }
 
--- a/crates/hornbeam_soak/src/caller.rs
+++ b/crates/hornbeam_soak/src/caller.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 
 use crate::ledger::{Ended, Ledger};
-use crate::server::records;
+use hornbeam_standin::routed::records;
 
 /// Host that every route has.
 pub const HOST: &str = "plots.example";
--- a/crates/hornbeam_soak/src/lib.rs
+++ b/crates/hornbeam_soak/src/lib.rs
@@ -4,7 +4,6 @@
 //!
 //! - [`fleet`]: settings, starts and signals of entries and controllers
 //! - [`proxy`]: links between programs that can be delayed, reset, cut one way or silenced
-//! - [`server`]: stand-in backend servers
 //! - [`caller`]: callers, and operators
 //! - [`ledger`]: what all of them saw, and the promises
 //! - [`plan`]: faults drawn from a seed
@@ -16,4 +15,3 @@
 pub mod plan;
 pub mod proxy;
 pub mod run;
-pub mod server;
--- a/crates/hornbeam_soak/src/plan.rs
+++ b/crates/hornbeam_soak/src/plan.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::proxy::Mood;
-use crate::server::{BAD_HABITS, Habit};
+use hornbeam_standin::routed::{BAD_HABITS, Habit};
 
 /// Time between the ends of two losses of controllers: a replaced voter has then caught up.
 const LOSS_GAP: Duration = Duration::from_secs(5);
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One seed from start to verdict.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +15,7 @@
 use crate::ledger::{CALM_AFTER, Ended, Ledger};
 use crate::plan::{Fault, Sizes, draw};
 use crate::proxy::Mood;
-use crate::server::{self, Habit, Running};
+use hornbeam_standin::routed::{self, Habit, Note, RoutedParams, Running};
 
 /// Shards of the index.
 const SHARDS: usize = 5;
@@ -157,16 +157,30 @@
             return Err("an entry did not get ready".to_owned());
         }
         // Every server has announced itself by now.
-        tokio::time::sleep(2 * server::HEARTBEAT).await;
+        tokio::time::sleep(2 * routed::HEARTBEAT).await;
         Ok(stage)
     }
 
     async fn add_server(&mut self, service: &str) -> Result<(), String> {
         let n = self.next_server;
         self.next_server += 1;
-        let (name, zone) = (format!("{service}-{n}"), ZONES[n % ZONES.len()]);
-        let (apis, ledger) = (self.apis.clone(), self.ledger.clone());
-        let started = server::start(&name, service, zone, WORK, apis, ledger).await;
+        let valid = "a valid name";
+        let ledger = self.ledger.clone();
+        let params = RoutedParams {
+            name: format!("{service}-{n}").parse().expect(valid),
+            service: service.parse().expect(valid),
+            zone: ZONES[n % ZONES.len()].parse().expect(valid),
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            work: WORK,
+            controllers: self.apis.clone(),
+            notes: Arc::new(move |note| match note {
+                Note::Runs { request, service, server } => {
+                    ledger.note_run(request, service, server);
+                }
+                Note::Leaves { server } => ledger.note_leaving(server),
+            }),
+        };
+        let started = routed::start(params).await;
         self.servers.push(started.map_err(|e| format!("a server cannot be started: {e}"))?);
         Ok(())
     }
@@ -357,7 +371,7 @@
 
 /// Starts another server of the same service and lets one leave.
 async fn replace(stage: &Arc<Mutex<Stage>>, s: &mut Stage, which: usize) -> Option<Healing> {
-    let service = s.servers[which].server.service.clone();
+    let service = s.servers[which].server.params.service.to_string();
     if let Err(e) = s.add_server(&service).await {
         s.ledger.violate(e);
         return None;
@@ -366,7 +380,7 @@
     s.servers.swap(which, last);
     let leaving = s.servers.pop()?;
     leaving.server.drain();
-    let time = crate::ledger::DRAIN_TIME + 2 * server::HEARTBEAT;
+    let time = crate::ledger::DRAIN_TIME + 2 * routed::HEARTBEAT;
     Some(later(stage, time, move |_| drop(leaving)))
 }
 
--- a/crates/hornbeam_soak/src/server.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -6,18 +6,58 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hornbeam_model::Incarnation;
+use hornbeam_model::{Incarnation, ServerId, ServiceId, Zone};
 use hornbeam_protocol::discovery::{ClaimOrder, LifeStage, ServerClaim, ServerOffer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 
-use crate::caller::http;
-use crate::ledger::Ledger;
+/// What a stand-in tells of itself.
+#[derive(Clone, Copy, Debug)]
+pub enum Note<'a> {
+    /// It begins to work on a request.
+    Runs {
+        /// Id of the request.
+        request: &'a str,
+        /// The stand-in's service.
+        service: &'a str,
+        /// The stand-in.
+        server: &'a str,
+    },
+    /// A controller has acknowledged that it leaves.
+    Leaves {
+        /// The stand-in.
+        server: &'a str,
+    },
+}
+
+/// Takes what a stand-in tells of itself.
+pub type Notes = Arc<dyn Fn(Note<'_>) + Send + Sync>;
+
+/// What a stand-in is like.
+#[derive(Clone)]
+pub struct RoutedParams {
+    /// Its name.
+    pub name: ServerId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Time of a request.
+    pub work: Duration,
+    /// Controllers that it sends heartbeats to.
+    pub controllers: Arc<Vec<SocketAddr>>,
+    /// Who is told.
+    pub notes: Notes,
+}
 
 /// Time between two heartbeats.
 pub const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Longest wait for the acknowledgement of a heartbeat.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Requests that a server works on at once.
 pub const SLOTS: u32 = 2;
 /// Requests that wait at most; more are refused as not run.
@@ -60,20 +100,16 @@
 
 /// One stand-in.
 pub struct Server {
-    /// Its name.
-    pub name: String,
-    /// Its service.
-    pub service: String,
+    /// What it is like.
+    pub params: RoutedParams,
     address: SocketAddr,
-    zone: String,
     habit: AtomicU32,
     draining: AtomicBool,
     incarnation: u64,
     /// Requests that work or wait.
     pending: AtomicU32,
     slots: Semaphore,
-    work: Duration,
-    ledger: Ledger,
+    client: reqwest::Client,
 }
 
 /// A running stand-in; it ends when dropped.
@@ -91,36 +127,26 @@
     }
 }
 
-/// Starts a stand-in that announces itself to `controllers`.
+/// Starts a stand-in that announces itself to controllers.
 ///
 /// # Errors
 ///
-/// No port can be bound.
-pub async fn start(
-    name: &str,
-    service: &str,
-    zone: &str,
-    work: Duration,
-    controllers: Arc<Vec<SocketAddr>>,
-    ledger: Ledger,
-) -> std::io::Result<Running> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+/// Its address cannot be bound.
+pub async fn start(params: RoutedParams) -> std::io::Result<Running> {
+    let listener = TcpListener::bind(params.listen).await?;
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let server = Arc::new(Server {
-        name: name.to_owned(),
-        service: service.to_owned(),
         address: listener.local_addr()?,
-        zone: zone.to_owned(),
+        params,
         habit: AtomicU32::new(0),
         draining: AtomicBool::new(false),
         incarnation: now.as_millis() as u64,
         pending: AtomicU32::new(0),
         slots: Semaphore::new(SLOTS as usize),
-        work,
-        ledger,
+        client: reqwest::Client::builder().no_proxy().build().unwrap_or_default(),
     });
     let accept = tokio::spawn(server.clone().accept(listener)).abort_handle();
-    let announce = tokio::spawn(server.clone().announce(controllers)).abort_handle();
+    let announce = tokio::spawn(server.clone().announce()).abort_handle();
     Ok(Running { server, tasks: vec![accept, announce] })
 }
 
@@ -153,7 +179,8 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    async fn announce(self: Arc<Self>, controllers: Arc<Vec<SocketAddr>>) {
+    async fn announce(self: Arc<Self>) {
+        let controllers = &self.params.controllers;
         let mut next = 0;
         let mut seq = 0;
         loop {
@@ -161,13 +188,11 @@
             let draining = self.draining.load(Ordering::Relaxed);
             let stage = if draining { LifeStage::Draining } else { LifeStage::Ready };
             let claim = self.claim(stage, seq);
-            let path = format!("/v1/servers/{}/heartbeat", self.name);
             for _ in 0..controllers.len() {
                 let controller = controllers[next % controllers.len()];
-                let sent = http(controller, "POST", &path, &claim, Duration::from_secs(1)).await;
-                if sent.is_some_and(|(status, _)| status == 200) {
+                if self.beat(controller, &claim).await {
                     if draining {
-                        self.ledger.note_leaving(&self.name);
+                        (self.params.notes)(Note::Leaves { server: self.params.name.as_str() });
                     }
                     break;
                 }
@@ -177,17 +202,23 @@
         }
     }
 
-    fn claim(&self, stage: LifeStage, seq: u64) -> Vec<u8> {
+    /// Sends one heartbeat; true if it was acknowledged.
+    async fn beat(&self, controller: SocketAddr, claim: &ServerClaim) -> bool {
+        let url = format!("http://{controller}/v1/servers/{}/heartbeat", self.params.name);
+        let call = self.client.post(url).timeout(HEARTBEAT_TIMEOUT).json(claim).send();
+        call.await.is_ok_and(|response| response.status().is_success())
+    }
+
+    fn claim(&self, stage: LifeStage, seq: u64) -> ServerClaim {
         let order = ClaimOrder { incarnation: Incarnation(self.incarnation), stage, seq };
         let offer = ServerOffer {
-            service: self.service.parse().expect("a valid service name"),
+            service: self.params.service.clone(),
             address: self.address,
-            zone: self.zone.parse().expect("a valid zone name"),
+            zone: self.params.zone.clone(),
             slots: SLOTS,
             warm_up_ms: 0,
         };
-        let server = self.name.parse().expect("a valid server name");
-        serde_json::to_vec(&ServerClaim { server, order, offer: Some(offer) }).unwrap_or_default()
+        ServerClaim { server: self.params.name.clone(), order, offer: Some(offer) }
     }
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
@@ -211,7 +242,7 @@
     /// Answers one request; false if the connection ends with it.
     async fn answer(&self, stream: &mut TcpStream, request: &Asked) -> bool {
         let id = &request.id;
-        if request.expected != self.name {
+        if request.expected != self.params.name.as_str() {
             let head = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
@@ -223,16 +254,17 @@
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
         let Ok(slot) = self.slots.acquire().await else { return false };
-        self.ledger.note_run(id, &self.service, &self.name);
+        let (service, server) = (self.params.service.as_str(), self.params.name.as_str());
+        (self.params.notes)(Note::Runs { request: id, service, server });
         let slow = if self.has_habit(Habit::Slow) { 12 } else { 1 };
-        tokio::time::sleep(self.work * slow).await;
+        tokio::time::sleep(self.params.work * slow).await;
         drop(slot);
         self.pending.fetch_sub(1, Ordering::Relaxed);
-        let body = records(&self.service, id);
+        let body = records(service, id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nhornbeam-request-id: {id}\r\nhornbeam-signature: {id}.{}\r\n\
              content-length: {}\r\n\r\n",
-            self.service,
+            service,
             body.len()
         );
         let mut answer = head.into_bytes();
--- a/crates/hornbeamrun/benches/slopes.rs
+++ b/crates/hornbeamrun/benches/slopes.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use hornbeam_standin::{LoadPlan, LoadReport};
+use hornbeam_standin::{Asked, LoadPlan, LoadReport};
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -215,11 +215,13 @@
 async fn load(fleet: &Fleet, rate: f64, seconds: u64) -> LoadReport {
     let plan = LoadPlan {
         targets: fleet.http.clone(),
-        service: "planner".parse().expect("a valid name"),
+        what: Asked::Queries {
+            service: "planner".parse().expect("a valid name"),
+            limit: 10,
+            single_percent: 0,
+        },
         rate,
         time: Duration::from_secs(seconds),
-        limit: 10,
-        single_percent: 0,
     };
     hornbeam_standin::load::run(&plan).await
 }
--- a/crates/hornbeamrun/src/args.rs
+++ b/crates/hornbeamrun/src/args.rs
@@ -111,7 +111,11 @@
     pub count: u16,
     /// instances to announce to, as ip:port, separated by commas
     #[argh(option)]
-    pub registrars: String,
+    pub registrars: Option<String>,
+    /// controllers to announce to instead: the stand-ins then serve routed requests, those of shard N the
+    /// service SERVICE-N
+    #[argh(option)]
+    pub controllers: Option<String>,
     /// service they hold
     #[argh(option)]
     pub service: String,
@@ -150,7 +154,13 @@
     pub targets: String,
     /// service to ask
     #[argh(option)]
-    pub service: String,
+    pub service: Option<String>,
+    /// path of routed requests to send to entries instead
+    #[argh(option)]
+    pub path: Option<String>,
+    /// host that routed requests name
+    #[argh(option, default = "String::from(\"localhost\")")]
+    pub host: String,
     /// queries a second
     #[argh(option, default = "50.0")]
     pub rate: f64,
--- a/crates/hornbeamrun/src/demo.rs
+++ b/crates/hornbeamrun/src/demo.rs
@@ -35,9 +35,9 @@
 /// Longest wait for the servers to be known.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-type Failure = String;
+pub type Failure = String;
 
-fn fail(e: impl std::fmt::Display) -> Failure {
+pub fn fail(e: impl std::fmt::Display) -> Failure {
     e.to_string()
 }
 
@@ -54,7 +54,7 @@
     servers: Vec<StandIn>,
     client: reqwest::Client,
     /// Removed with everything in it at the end.
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 async fn demo() -> Result<(), Failure> {
@@ -69,6 +69,7 @@
     stage.servers[1].kill();
     stage.show("query with a dead replica", 0).await?;
     stage.show_index_change().await?;
+    crate::demo_routed::show(stage.folder.path(), &stage.client).await?;
     let events = stage.events().await?;
     outln!("\ntime line of all instances:");
     out!("{}", timeline::render(&timeline::merge(events)));
@@ -77,7 +78,7 @@
     Ok(())
 }
 
-fn free_address() -> Result<SocketAddr, Failure> {
+pub fn free_address() -> Result<SocketAddr, Failure> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(fail)?;
     listener.local_addr().map_err(fail)
 }
@@ -175,7 +176,7 @@
         }
         let addresses = all.iter().map(|p| p.http).collect();
         let client = reqwest::Client::builder().no_proxy().build().map_err(fail)?;
-        let stage = Self { nodes, addresses, servers, client, _folder: folder };
+        let stage = Self { nodes, addresses, servers, client, folder };
         stage.configure().await?;
         Ok(stage)
     }
--- a/crates/hornbeamrun/src/load.rs
+++ b/crates/hornbeamrun/src/load.rs
@@ -3,7 +3,7 @@
 use hornbeam_events::outln;
 use std::time::Duration;
 
-use hornbeam_standin::LoadPlan;
+use hornbeam_standin::{Asked, LoadPlan};
 
 use crate::args::LoadArgs;
 use crate::standins::addresses;
@@ -21,13 +21,19 @@
             "rate is above 0 up to 100000, seconds 1 to 3600: choose values in range".into()
         );
     }
+    let what = match (&args.service, &args.path) {
+        (Some(service), None) => {
+            let service = service.parse().map_err(|e| format!("{e}"))?;
+            Asked::Queries { service, limit: 10, single_percent: args.single_percent }
+        }
+        (None, Some(path)) => Asked::Routed { host: args.host.clone(), path: path.clone() },
+        _ => return Err("name either --service or --path".into()),
+    };
     let plan = LoadPlan {
         targets: addresses(&args.targets)?,
-        service: args.service.parse().map_err(|e| format!("{e}"))?,
+        what,
         rate: args.rate,
         time: Duration::from_secs(args.seconds),
-        limit: 10,
-        single_percent: args.single_percent,
     };
     let report = crate::runtime(2)?.block_on(hornbeam_standin::load::run(&plan));
     let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
--- a/crates/hornbeamrun/src/main.rs
+++ b/crates/hornbeamrun/src/main.rs
@@ -4,11 +4,13 @@
 //! - [`serve`]: runs an instance until it is told to stop
 //! - [`fleet`]: runs an entry or a controller
 //! - [`demo`]: shows the main job in one process
+//! - [`demo_routed`]: its part with routed requests
 //! - [`standins`]: runs stand-in backend servers
 //! - [`load`]: sends queries and prints what came back
 
 mod args;
 mod demo;
+mod demo_routed;
 mod fleet;
 mod load;
 mod serve;
--- a/crates/hornbeamrun/src/standins.rs
+++ b/crates/hornbeamrun/src/standins.rs
@@ -3,11 +3,13 @@
 use hornbeam_events::outln;
 use std::net::SocketAddr;
 use std::str::FromStr;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hornbeam_model::{
     Incarnation, IndexHolding, IndexVersion, SchemaVersion, ShardId, ShardRanges, Zone,
 };
+use hornbeam_standin::routed::{self, RoutedParams};
 use hornbeam_standin::{Behaviour, StandIn, StandInParams};
 
 use crate::args::StandinsArgs;
@@ -30,8 +32,12 @@
 
 /// Runs stand-ins until interrupted.
 pub fn run(args: &StandinsArgs) -> Result<(), String> {
-    let registrars = addresses(&args.registrars)?;
     let runtime = crate::runtime(2)?;
+    if let Some(controllers) = &args.controllers {
+        return runtime.block_on(run_routed(args, addresses(controllers)?));
+    }
+    let registrars = args.registrars.as_deref().ok_or("name --registrars or --controllers")?;
+    let registrars = addresses(registrars)?;
     runtime.block_on(async {
         for i in 0..args.count {
             let params = params(args, i, &registrars)?;
@@ -73,3 +79,30 @@
         seed: u64::from(i) + 1,
     })
 }
+
+/// Runs stand-ins of routed requests until interrupted.
+async fn run_routed(args: &StandinsArgs, controllers: Vec<SocketAddr>) -> Result<(), String> {
+    let controllers = Arc::new(controllers);
+    let mut running = Vec::new();
+    for i in 0..args.count {
+        let shard = u32::from(i) % args.shards.max(1);
+        let service = match args.shards {
+            0 | 1 => args.service.clone(),
+            _ => format!("{}-{shard}", args.service),
+        };
+        let params = RoutedParams {
+            name: format!("{service}-{}-{i}", args.zone).parse().map_err(|e| format!("{e}"))?,
+            service: service.parse().map_err(|e| format!("{e}"))?,
+            zone: args.zone.parse().map_err(|e| format!("{e}"))?,
+            listen: SocketAddr::new(args.listen.ip(), args.listen.port() + i),
+            work: Duration::from_micros(args.service_us),
+            controllers: controllers.clone(),
+            notes: Arc::new(|_| {}),
+        };
+        let (listen, started) = (params.listen, routed::start(params).await);
+        let started = started.map_err(|e| format!("{listen} cannot be bound ({e}): free it"));
+        running.push(started?);
+    }
+    outln!("{} stand-ins run; stop them with ctrl-c", running.len());
+    tokio::signal::ctrl_c().await.map_err(|e| e.to_string())
+}
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -10,7 +10,8 @@
 use hornbeam_soak::caller::{Caller, HOST, http, put_table};
 use hornbeam_soak::fleet::{Kind, METRICS_PORT};
 use hornbeam_soak::run::{Options, Stage, play, table};
-use hornbeam_soak::server::Habit;
+use hornbeam_standin::LoadReport;
+use hornbeam_standin::routed::Habit;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -229,3 +230,52 @@
         }
     }
 }
+
+/// Runs a command of the program and gives its standard output.
+async fn command(args: &[&str]) -> String {
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_hornbeamrun"));
+    let output = command.args(args).output().await.unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routed_load() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = stage(18, (2, 1), folder.path()).await;
+    let targets: Vec<String> = stage.fleet.callers().iter().map(ToString::to_string).collect();
+    let targets = targets.join(",");
+    let args = ["load", "--targets", &targets, "--path", "/sweep/1", "--host", HOST];
+    let text = command(&[&args[..], &["--rate", "50", "--seconds", "2"]].concat()).await;
+    let report: LoadReport = serde_json::from_str(&text).unwrap();
+    assert_eq!(report.sent, 100);
+    assert!(report.complete > 90 && report.coverage > 0.9, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routed_standins() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = stage(19, (1, 1), folder.path()).await;
+    let controllers = stage.fleet.apis()[0].to_string();
+    let mut standins = tokio::process::Command::new(env!("CARGO_BIN_EXE_hornbeamrun"))
+        .args(["standins", "--controllers", &controllers, "--listen", "127.0.19.201:9100"])
+        .args(["--count", "4", "--shards", "2", "--service", "plots", "--zone", "olomouc"])
+        .kill_on_drop(true)
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let controller = &stage.fleet.programs[stage.fleet.of_kind(Kind::Controller)[0]];
+    let metrics = SocketAddr::new(controller.bind, METRICS_PORT);
+    let expected = format!("hornbeam_controller_servers {}", stage.servers.len() + 4);
+    let mut text = String::new();
+    for _ in 0..50 {
+        let page = http(metrics, "GET", "/metrics", b"", Duration::from_secs(2)).await;
+        text = String::from_utf8(page.expect("an answer").1).unwrap();
+        if text.contains(&expected) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(text.contains(&expected), "{text}");
+    standins.kill().await.unwrap();
+}
--- a/crates/hornbeamrun/tests/processes.rs
+++ b/crates/hornbeamrun/tests/processes.rs
@@ -328,7 +328,9 @@
     let output = Command::new(BIN).arg("demo").output().unwrap();
     let text = String::from_utf8(output.stdout).unwrap();
     assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
-    for part in ["plain query", "dead replica", "index change", "time line", "index_version\":8"] {
+    let routed = "parts 6, lacking 0, records 10";
+    let others = ["plain query", "dead replica", "index change", "time line", "index_version\":8"];
+    for part in others.into_iter().chain([routed]) {
         assert!(text.contains(part), "{part} is missing:\n{text}");
     }
 }
