--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -211,11 +211,13 @@
         }
     }
 
-    /// Notes that the connection to another entry has ended.
-    pub fn note_line_lost(&self, peer: &InstanceId, reason: &std::io::Error) {
-        let what = json!({
-            "belief": "line_lost", "peer": peer, "reason": reason.to_string(),
-        });
+    /// Notes that the connection to another entry is open, or why it has ended.
+    pub fn note_line(&self, peer: &InstanceId, ended: Option<&std::io::Error>) {
+        let Some(reason) = ended else {
+            let what = json!({"belief": "line_open", "peer": peer});
+            return self.log.write("line_open", false, &what);
+        };
+        let what = json!({"belief": "line_lost", "peer": peer, "reason": reason.to_string()});
         self.log.write("line_lost", true, &what);
     }
 
--- a/crates/hornbeam_entry/src/mergers.rs
+++ b/crates/hornbeam_entry/src/mergers.rs
@@ -230,6 +230,7 @@
         }
         return;
     };
+    core.note_line(peer, None);
     line.send(&GatherUp::Hello { entry: mergers.me.clone() });
     if let Some(link) = mergers.links.borrow_mut().get_mut(peer).filter(|l| l.id == id) {
         let open = LinkState::Open(line.clone());
@@ -245,7 +246,7 @@
         }
     });
     let end = end.await;
-    core.note_line_lost(peer, &end);
+    core.note_line(peer, Some(&end));
     for group in mergers.end(peer, id) {
         core.step(Input::Group { group, news: GroupNews::Lost });
     }
