--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -113,7 +113,8 @@
     TableDelta(Box<RoutingDelta>),
     /// The whole routing table.
     Table(Arc<Routing>),
-    /// All entries of the follower's zone that the controller hears, the follower included.
+    /// The entries that the controller hears: all of the follower's zone, itself included, and some of
+    /// every other.
     Entries(Vec<EntryOffer>),
     /// Servers that several entries have found not well, at the worst as most of them say.
     Troubles(Vec<Trouble>),
--- a/crates/hornbeam_route/src/engine/intake.rs
+++ b/crates/hornbeam_route/src/engine/intake.rs
@@ -49,7 +49,9 @@
             return self.turn_away(arrival, None, RefusalKind::NoRoute, None, out);
         };
         let services = self.services_for(&route);
-        for service in &services {
+        let delegates = self.delegates(now, &route, services.len());
+        // Those that are given away count at the entries that send them.
+        for service in services.iter().filter(|_| !delegates) {
             self.services[*service].extra.note_request(now);
         }
         let min_parts = match &route.target {
@@ -84,7 +86,9 @@
         let key = running.key;
         self.requests.insert(key, running);
         self.probe_peers(now, out);
-        if !self.delegate(now, key, out) {
+        if delegates {
+            self.delegate(now, key, out);
+        } else {
             self.place_all(now, key, out);
         }
         self.log_admission(now, key, out);
