--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -78,7 +78,7 @@
     pub table: TableVersion,
 }
 
-/// An entry that collects groups of shards for others of its zone.
+/// An entry that collects groups of shards for others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryOffer {
     /// Its name.
