--- /dev/null
+++ b/crates/hornbeam_testkit/src/control/steps.rs
@@ -0,0 +1,181 @@
+//! What happens in the cluster: messages, wakes, and what the state machines want done.
+
+use std::time::Duration;
+
+use hornbeam_control::{
+    Decision, FollowerInput, FollowerOutput, ProposalId, RaftInput, RaftOutput, Voter,
+};
+use hornbeam_model::{InstanceId, Mono, Revision};
+use hornbeam_protocol::control::ChangeOutcome;
+use rand::Rng;
+
+use super::{ControlCluster, DIGEST_EVERY, DIGEST_FANOUT, Happening, NodeIdx, Wire};
+
+impl ControlCluster {
+    pub(super) fn queue(&mut self, at: Mono, what: Happening) {
+        self.agenda.put(at, what);
+    }
+
+    pub(super) fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Arrival { from, to, wire } => self.arrive(from, to, wire),
+            Happening::Wake(i) => self.wake(i),
+            Happening::Digest(i) => self.digest(i),
+        }
+    }
+
+    pub(super) fn arrive(&mut self, from: NodeIdx, to: NodeIdx, wire: Wire) {
+        if self.cut.contains(&(from, to)) || !self.is_up(to) {
+            return;
+        }
+        let from = self.nodes[from].name.clone();
+        match wire {
+            Wire::Control(message) => self.voter_step(to, RaftInput::Message { from, message }),
+            Wire::Config(message) => {
+                self.follower_step(to, FollowerInput::Message { from, message });
+            }
+            Wire::State(state) => {
+                if state.revision > Revision(0) {
+                    self.voter_step(to, RaftInput::ConfigExists);
+                }
+                self.follower_step(to, FollowerInput::Peer { from, state });
+            }
+        }
+    }
+
+    pub(super) fn wake(&mut self, i: NodeIdx) {
+        if !self.is_up(i) {
+            return;
+        }
+        self.voter_step(i, RaftInput::Tick);
+        self.follower_step(i, FollowerInput::Tick);
+        let voter = self.nodes[i].voter.as_ref().map_or(Mono::MAX, Voter::next_wake);
+        let follower = self.nodes[i].follower.as_ref().map_or(Mono::MAX, |f| f.next_wake(self.now));
+        let at = voter.min(follower).max(self.now + Duration::from_millis(1));
+        let at = at.min(self.now + Duration::from_millis(200));
+        self.queue(at, Happening::Wake(i));
+    }
+
+    pub(super) fn digest(&mut self, i: NodeIdx) {
+        let Some(follower) = &self.nodes[i].follower else { return };
+        let state = follower.state(self.now);
+        for _ in 0..DIGEST_FANOUT {
+            let to = self.rng.random_range(0..self.nodes.len());
+            if to != i {
+                self.transmit(i, to, Wire::State(state.clone()));
+            }
+        }
+        self.queue(self.now + DIGEST_EVERY, Happening::Digest(i));
+    }
+
+    pub(super) fn transmit(&mut self, from: NodeIdx, to: NodeIdx, wire: Wire) {
+        let lost = self.rng.random_range(0..100) < self.loss_percent;
+        if lost || self.cut.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_range(0..100) < self.duplicate_percent);
+        for _ in 0..copies {
+            let jitter = self.rng.random_range(0..=self.jitter.as_micros() as u64);
+            let at = self.now + self.delay + Duration::from_micros(jitter);
+            self.queue(at, Happening::Arrival { from, to, wire: wire.clone() });
+        }
+    }
+
+    pub(super) fn index_of(&self, name: &InstanceId) -> Option<NodeIdx> {
+        self.nodes.iter().position(|n| n.name == *name)
+    }
+
+    pub(super) fn voter_step(&mut self, i: NodeIdx, input: RaftInput) {
+        let Some(voter) = &mut self.nodes[i].voter else {
+            if let RaftInput::Propose { id, .. } = input {
+                self.decide(id, Decision::NotLeader);
+            }
+            return;
+        };
+        let mut out = Vec::new();
+        voter.step(self.now, input, &mut out);
+        self.carry_out(i, out);
+        self.check_leader(i);
+        let crashed = self.nodes[i].voter.as_ref().is_some_and(|v| v.raft().is_none());
+        if crashed {
+            self.crash(i);
+        }
+    }
+
+    pub(super) fn follower_step(&mut self, i: NodeIdx, input: FollowerInput) {
+        let Some(follower) = &mut self.nodes[i].follower else { return };
+        let mut out = Vec::new();
+        follower.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                FollowerOutput::Send { to, message } => {
+                    if let Some(to) = self.index_of(&to) {
+                        self.transmit(i, to, Wire::Config(message));
+                    }
+                }
+                FollowerOutput::InForce(config) => {
+                    self.in_force(i, &config);
+                    self.came_into_force.push((i, config));
+                }
+                FollowerOutput::Keep(config) => {
+                    if let Some(voter) = &self.nodes[i].voter {
+                        // A crash in this write shows in the voter's next write.
+                        let _ = voter.keep_config(&config);
+                    }
+                }
+                FollowerOutput::Confirmed(_) => {}
+                FollowerOutput::Event(event) => self.note(i, event),
+            }
+        }
+    }
+
+    pub(super) fn note(&mut self, i: NodeIdx, event: hornbeam_events::Event) {
+        self.events.push((self.now, self.nodes[i].name.clone(), event));
+    }
+
+    pub(super) fn carry_out(&mut self, i: NodeIdx, out: Vec<RaftOutput>) {
+        for output in out {
+            match output {
+                RaftOutput::Send { to, message } => {
+                    self.control_messages += 1;
+                    if let Some(to) = self.index_of(&to) {
+                        self.transmit(i, to, Wire::Control(message));
+                    }
+                }
+                RaftOutput::Committed { change, config } => {
+                    self.check_committed(i, &config);
+                    self.follower_step(i, FollowerInput::Committed { change, config });
+                }
+                RaftOutput::Installed(config) => {
+                    self.follower_step(i, FollowerInput::Installed(config));
+                }
+                RaftOutput::Confirmed(at) => {
+                    self.check_confirmed(i, at);
+                    let leader = Some(self.nodes[i].name.clone());
+                    self.follower_step(i, FollowerInput::Leader(leader));
+                    self.follower_step(i, FollowerInput::Confirmed(at));
+                }
+                RaftOutput::RoutingCommitted(table) => self.check_table(i, table.version),
+                // Written by the voter before this.
+                RaftOutput::Persist(_) => {}
+                RaftOutput::Decided { id, decision } => self.decide(id, decision),
+                RaftOutput::Event(event) => self.note(i, event),
+            }
+        }
+    }
+
+    pub(super) fn decide(&mut self, id: ProposalId, decision: Decision) {
+        let Some(submission) = self.submissions.get_mut(&id.0) else { return };
+        if submission.decided.is_some() {
+            return;
+        }
+        submission.decided = Some((self.now, decision.clone()));
+        let change = submission.id.clone();
+        if let Decision::Done(ChangeOutcome::Accepted { revision }) = decision {
+            let first = *self.accepted.entry(change.clone()).or_insert(revision);
+            if first != revision {
+                self.violate(format!("{change} was accepted as {first} and as {revision}"));
+            }
+        }
+    }
+}
