--- a/crates/hornbeam_route/tests/delegated.rs
+++ b/crates/hornbeam_route/tests/delegated.rs
@@ -59,16 +59,22 @@
     assert!(world.extra() < 0.2, "{}", world.extra());
 }
 
-#[test]
-fn frozen_entry() {
-    let mut world = grown(2);
+/// Sweeps for a time in which the first entry has a fault.
+fn with_fault(seed: u64, fault: EntryFault, time: Duration) -> World {
+    let mut world = grown(seed);
     world.introduce();
     run(&mut world, SECOND);
-    world.entry_faults[0] = EntryFault::Frozen;
+    world.entry_faults[0] = fault;
     world.ended.clear();
     world.decisions.clear();
-    world.load(0, SWEEPS, 5 * SECOND);
-    world.run(7 * SECOND);
+    world.load(0, SWEEPS, time);
+    world.run(time + 2 * SECOND);
+    world
+}
+
+#[test]
+fn frozen_entry() {
+    let world = with_fault(2, EntryFault::Frozen, 5 * SECOND);
     assert!(failures(&world, GroupFailure::NotBegun) > 0);
     // Each other entry of its zone finds out once, and sends the group itself in time.
     let served = world.worth(0);
@@ -78,14 +84,7 @@
 
 #[test]
 fn unheard_entry() {
-    let mut world = grown(8);
-    world.introduce();
-    run(&mut world, SECOND);
-    world.entry_faults[0] = EntryFault::Unheard;
-    world.ended.clear();
-    world.decisions.clear();
-    world.load(0, SWEEPS, 10 * SECOND);
-    world.run(12 * SECOND);
+    let world = with_fault(8, EntryFault::Unheard, 10 * SECOND);
     // Each of the eight others of its zone loses one search before it suspects the entry.
     let lost = world.ended.iter().filter(|e| e.took > 80 * MS || e.parts < 86).count();
     assert!(lost <= ENTRIES / 2 + 4, "{lost} of {} searches were lost", world.ended.len());
