--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hornbeam_discovery::neighbours;
 use hornbeam_model::{Mono, Zone};
 use hornbeam_node::clock::unix_ms;
 use hornbeam_protocol::discovery::{
     ControllerMessage, EntryOffer, FeedChange, FeedDown, FleetNews, LifeStage,
 };
 use hornbeam_protocol::{MAX_STREAM_BYTES, Message};
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use serde_json::json;
 
 use super::{Controller, Follower};
@@ -71,16 +70,18 @@
         self.send_all(&news);
     }
 
-    /// Tells the entries of one another, if any came or went.
+    /// Tells the entries of each zone of one another, if any came or went.
     pub(super) fn publish_entries(&mut self) {
         if !std::mem::take(&mut self.followers_changed) {
             return;
         }
-        let all: Vec<EntryOffer> = self.followers.values().map(|f| f.offer.clone()).collect();
-        let zones: IndexSet<Zone> = all.iter().map(|o| o.zone.clone()).collect();
-        for zone in zones {
-            let told = FeedDown::Entries(neighbours(&zone, &all));
-            let Some(frame) = self.seal(&told) else { continue };
+        let mut zones: IndexMap<Zone, Vec<EntryOffer>> = IndexMap::new();
+        for follower in self.followers.values() {
+            let zone = follower.offer.zone.clone();
+            zones.entry(zone).or_default().push(follower.offer.clone());
+        }
+        for (zone, offers) in zones {
+            let Some(frame) = self.seal(&FeedDown::Entries(offers)) else { continue };
             // An entry that does not keep up follows anew and gets everything.
             self.followers
                 .retain(|_, f| f.offer.zone != zone || f.tx.try_send(frame.clone()).is_ok());
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -6,17 +6,14 @@
 //! - [`reach`]: whether an entry is cut off
 //! - [`registry`]: heartbeats of servers at one controller
 //! - [`directory`]: the feeds of all controllers at one entry
-//! - [`neighbours`]: which other entries an entry is told of
 //! - [`troubles`]: what entries have found out about servers
 
 pub mod directory;
-pub mod neighbours;
 pub mod reach;
 pub mod registry;
 pub mod troubles;
 
 pub use directory::{Directory, ServerUpdate};
-pub use neighbours::neighbours;
 pub use reach::{Feeds, Reach};
 pub use registry::{Registry, RegistryParams};
 pub use troubles::TroubleBoard;
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -54,7 +54,7 @@
     Heard(Feeds),
     /// Servers that other entries have found not well.
     Hearsay(Vec<ServerTrouble>),
-    /// The other entries: all of the own zone, some of the others.
+    /// The other entries of the own zone.
     Peers(Vec<Peer>),
 }
 
@@ -80,8 +80,8 @@
     connected: bool,
     /// Entries that it hears.
     entries: u32,
-    /// Those that it tells this one of.
-    others: Vec<EntryOffer>,
+    /// Those of the own zone.
+    zone_entries: Vec<EntryOffer>,
 }
 
 struct Follower {
@@ -163,7 +163,7 @@
         };
         let task = tokio::task::spawn_local(line.keep(rx)).abort_handle();
         let heard = self.params.clock.now();
-        let feed = Feed { up, task, heard, connected: false, entries: 0, others: Vec::new() };
+        let feed = Feed { up, task, heard, connected: false, entries: 0, zone_entries: Vec::new() };
         self.feeds.insert(controller.clone(), feed);
     }
 
@@ -275,12 +275,12 @@
         self.tell(FeedEvent::Servers(changes.collect()));
     }
 
-    /// Takes the entries that one controller hears; all controllers together know them.
+    /// Takes the entries of the zone that one controller hears; all controllers together know them.
     fn take_entries(&mut self, from: &InstanceId, offers: Vec<EntryOffer>) {
         if let Some(feed) = self.feeds.get_mut(from) {
-            feed.others = offers;
+            feed.zone_entries = offers;
         }
-        let offers = self.feeds.values().flat_map(|f| &f.others);
+        let offers = self.feeds.values().flat_map(|f| &f.zone_entries);
         let others = offers.filter(|o| o.entry != self.me);
         let peers: IndexMap<&InstanceId, &EntryOffer> = others.map(|o| (&o.entry, o)).collect();
         let peers = peers.into_values().map(|o| Peer {
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -78,7 +78,7 @@
     pub table: TableVersion,
 }
 
-/// An entry that collects groups of shards for others.
+/// An entry that collects groups of shards for others of its zone.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryOffer {
     /// Its name.
@@ -113,8 +113,7 @@
     TableDelta(Box<RoutingDelta>),
     /// The whole routing table.
     Table(Arc<Routing>),
-    /// The entries that the controller hears: all of the follower's zone, itself included, and some of
-    /// every other.
+    /// All entries of the follower's zone that the controller hears, the follower included.
     Entries(Vec<EntryOffer>),
     /// Servers that several entries have found not well, at the worst as most of them say.
     Troubles(Vec<Trouble>),
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -82,8 +82,8 @@
     },
     /// No second request was sent to a late shard: the budget is used up.
     HedgeDenied { request: SmolStr, service: ServiceId, entries: u32 },
-    /// The shards of a search were given to other entries in groups, `elsewhere` of them in other zones.
-    Delegated { request: SmolStr, shards: usize, groups: usize, elsewhere: usize },
+    /// The shards of a search were given to other entries in groups.
+    Delegated { request: SmolStr, shards: usize, groups: usize, peers: usize },
     /// Another entry did not collect a group; `sent_from_here` of its shards are sent by this one.
     GroupFailed {
         request: SmolStr,
--- a/crates/hornbeam_route/src/engine/delegating.rs
+++ b/crates/hornbeam_route/src/engine/delegating.rs
@@ -1,18 +1,13 @@
 //! Searches over many shards: groups of shards are given to other entries.
 //!
 //! An entry that sends to every shard itself works for longer than a short objective allows. It gives
-//! groups of shards to other entries, which send, hedge and merge in parallel. Shards that have no server
-//! in its zone go to entries of a zone that has one, so that one message crosses instead of one a shard.
+//! groups of shards to other entries of its zone, which send, hedge and merge in parallel.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId, Route, Scatter, ServiceId, Target};
 
-use indexmap::IndexMap;
-use smol_str::SmolStr;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
 use super::{Delegation, Engine, GroupNews, Output};
 use crate::decision::{Decision, GroupFailure};
 use crate::request::{CellState, Running};
@@ -51,79 +46,34 @@
 
 impl Engine {
     /// True if a search has so many shards that others are given groups of them.
-    pub(super) fn delegates(&self, now: Mono, route: &Route, shards: usize) -> bool {
+    pub(super) fn delegates(&self, route: &Route, shards: usize) -> bool {
         shards > self.params.delegate_above
             && matches!(route.target, Target::Scatter(_))
-            && self.peers.usable_in(now, self.params.zone.as_str()) > 0
+            && self.peers.usable() > 0
     }
 
     /// Gives the shards of a search to other entries.
     pub(super) fn delegate(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
-        let groups = self.groups_of(now, key);
         let Some(running) = self.requests.get_mut(&key) else { return };
+        let shards = running.cells.len();
         running.answer_by = running.answer_by.before(MERGE_TIME).max(now);
-        for (zone, cells) in &groups {
-            let Some(first) = cells.first() else { continue };
-            let Some(running) = self.requests.get(&key) else { return };
-            let seed = xxh3_64(self.services[running.cells[*first].service].id.as_str().as_bytes());
-            match self.peers.choose(zone, seed, &mut self.rng) {
-                Some(peer) => self.give_group(now, key, &peer, cells, out),
-                None => self.place_group(now, key, cells, out),
-            }
+        let cells: Vec<usize> = (0..shards).collect();
+        for (number, group) in cells.chunks(group_size(shards)).enumerate() {
+            // A choice suspects nobody, so that there is one for every group.
+            let Some(peer) = self.peers.choose(number, &mut self.rng) else { continue };
+            self.give_group(now, key, &peer, group, out);
         }
         let Some(running) = self.requests.get_mut(&key) else { return };
         let time = running.answer_by.since(now) * TAKE_BACK_PERCENT / 100;
         running.take_back_at = Some(now + time);
         out.push(Output::Log(Decision::Delegated {
             request: running.id.clone(),
-            shards: running.cells.len(),
+            shards,
             groups: running.groups.len(),
-            elsewhere: groups.iter().filter(|(z, _)| *z != self.params.zone.as_str()).count(),
+            peers: self.peers.usable(),
         }));
     }
 
-    /// Sends a group of shards from here.
-    fn place_group(&mut self, now: Mono, key: QueryId, cells: &[usize], out: &mut Vec<Output>) {
-        for cell in cells {
-            if !self.place(now, key, *cell, out) {
-                self.set_lacking(key, *cell);
-            }
-        }
-    }
-
-    /// The shards of a search in groups, each with the zone whose entries are to collect it: the own one,
-    /// or one that has servers of shards that have none here.
-    fn groups_of(&self, now: Mono, key: QueryId) -> Vec<(SmolStr, Vec<usize>)> {
-        let Some(running) = self.requests.get(&key) else { return Vec::new() };
-        let mut zones: IndexMap<SmolStr, Vec<usize>> = IndexMap::new();
-        for (i, cell) in running.cells.iter().enumerate() {
-            zones.entry(self.zone_for(now, cell.service)).or_default().push(i);
-        }
-        let size = group_size(running.cells.len());
-        let mut groups = Vec::new();
-        for (zone, cells) in zones {
-            let even = cells.len().div_ceil(cells.len().div_ceil(size));
-            groups.extend(cells.chunks(even).map(|group| (zone.clone(), group.to_vec())));
-        }
-        groups
-    }
-
-    /// The zone whose entries are to collect a shard. Entries with the same view choose alike.
-    fn zone_for(&self, now: Mono, service: usize) -> SmolStr {
-        let service = &self.services[service];
-        let servers = service.servers.iter().map(|s| &self.servers[*s]);
-        let servers = servers.filter(|s| !s.is_ejected());
-        let own = SmolStr::new(self.params.zone.as_str());
-        if servers.clone().any(|s| s.local) {
-            return own;
-        }
-        let others = servers.map(|s| &s.zone).filter(|z| self.peers.usable_in(now, z) > 0);
-        let rank = |zone: &&SmolStr| {
-            xxh3_64_with_seed(zone.as_bytes(), xxh3_64(service.id.as_str().as_bytes()))
-        };
-        others.min_by_key(rank).cloned().unwrap_or(own)
-    }
-
     fn give_group(
         &mut self,
         now: Mono,
@@ -240,9 +190,6 @@
     fn end_group(&mut self, now: Mono, group: AttemptId, why: GroupFailure, out: &mut Vec<Output>) {
         let Some(flight) = self.forget_group(group) else { return };
         self.suspect_peer(now, &flight.peer, out);
-        if why != GroupFailure::Declined {
-            self.peers.avoid_zone_of(now, &flight.peer);
-        }
         let key = flight.request;
         let Some(running) = self.requests.get_mut(&key) else { return };
         let open: Vec<usize> = flight
--- a/crates/hornbeam_route/src/engine/intake.rs
+++ b/crates/hornbeam_route/src/engine/intake.rs
@@ -49,7 +49,7 @@
             return self.turn_away(arrival, None, RefusalKind::NoRoute, None, out);
         };
         let services = self.services_for(&route);
-        let delegates = self.delegates(now, &route, services.len());
+        let delegates = self.delegates(&route, services.len());
         // Those that are given away count at the entries that send them.
         for service in services.iter().filter(|_| !delegates) {
             self.services[*service].extra.note_request(now);
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -137,7 +137,7 @@
     Entries(u32),
     /// What other entries have found out.
     Hearsay(Vec<ServerTrouble>),
-    /// The other entries: all of the own zone, some of the others.
+    /// The other entries of the own zone.
     Peers(Vec<Peer>),
     /// Another entry was heard.
     PeerHeard(InstanceId),
@@ -398,7 +398,7 @@
             entries: ASSUMED_ENTRIES,
             requests: HashMap::new(),
             flights: HashMap::new(),
-            peers: Peers::new(params.zone.clone()),
+            peers: Peers::default(),
             groups: HashMap::new(),
             next_attempt: 1,
             timers: BinaryHeap::new(),
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -1,9 +1,8 @@
 //! Other entries, and which of them collects which group of shards.
 //!
-//! Every entry ranks the others alike for a group, so that a server sees connections of a few entries
-//! only and each of them meets it often.
+//! Every entry of a zone ranks the others alike for a group, so that a server sees connections of a few
+//! entries only and each of them meets it often.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use hornbeam_model::{InstanceId, Mono, Zone};
@@ -17,9 +16,6 @@
 const PEERS_PER_GROUP: usize = 4;
 /// Time between two looks whether a suspected entry is back.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
-/// Time for which another zone gets no groups after one of its entries could not be reached: about as
-/// long as it takes to find out which servers are cut off with it.
-const ZONE_AVOIDED: Duration = Duration::from_secs(1);
 
 /// Another entry of the fleet.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,22 +38,14 @@
     groups: u32,
 }
 
-/// The other entries: all of the own zone, some of the others.
-#[derive(Debug)]
+/// The other entries of the own zone.
+#[derive(Debug, Default)]
 pub struct Peers {
-    own_zone: Zone,
     known: IndexMap<InstanceId, Known>,
-    /// Other zones that are given nothing, and until when.
-    avoided: HashMap<Zone, Mono>,
 }
 
 impl Peers {
-    /// Nobody is known yet.
-    pub fn new(own_zone: Zone) -> Self {
-        Self { own_zone, known: IndexMap::new(), avoided: HashMap::new() }
-    }
-
-    /// Takes all other entries.
+    /// Takes all other entries of the zone.
     pub fn replace(&mut self, peers: Vec<Peer>) {
         let mut before = std::mem::take(&mut self.known);
         for peer in peers {
@@ -72,22 +60,16 @@
         }
     }
 
-    /// Entries of a zone that groups can be given to now.
-    pub fn usable_in(&self, now: Mono, zone: &str) -> usize {
-        if self.avoided.iter().any(|(z, until)| z.as_str() == zone && now < *until) {
-            return 0;
-        }
-        let of_zone = self.known.values().filter(|k| k.peer.zone.as_str() == zone);
-        of_zone.filter(|k| !k.suspected).count()
+    /// Entries that groups can be given to.
+    pub fn usable(&self) -> usize {
+        self.known.values().filter(|k| !k.suspected).count()
     }
 
-    /// Chooses an entry of a zone for a group and notes that it has one more. `seed` stands for the
-    /// group: it is the same at all entries.
-    pub fn choose(&mut self, zone: &str, seed: u64, rng: &mut SmallRng) -> Option<Peer> {
-        let rank = |k: &Known| xxh3_64_with_seed(k.peer.name.as_str().as_bytes(), seed);
-        let can = |k: &Known| !k.suspected && k.peer.zone.as_str() == zone;
+    /// Chooses an entry for the group of this number and notes that it has one more.
+    pub fn choose(&mut self, group: usize, rng: &mut SmallRng) -> Option<Peer> {
+        let rank = |k: &Known| xxh3_64_with_seed(k.peer.name.as_str().as_bytes(), group as u64);
         let mut usable: Vec<usize> =
-            (0..self.known.len()).filter(|i| can(&self.known[*i])).collect();
+            (0..self.known.len()).filter(|i| !self.known[*i].suspected).collect();
         usable.sort_by_key(|i| rank(&self.known[*i]));
         usable.truncate(PEERS_PER_GROUP);
         let least = usable
@@ -98,15 +80,6 @@
         Some(known.peer.clone())
     }
 
-    /// Gives nothing to the zone of an entry that cannot be reached, if it is another zone: it may be
-    /// cut off as a whole.
-    pub fn avoid_zone_of(&mut self, now: Mono, name: &InstanceId) {
-        let Some(known) = self.known.get(name) else { return };
-        if known.peer.zone != self.own_zone {
-            self.avoided.insert(known.peer.zone.clone(), now + ZONE_AVOIDED);
-        }
-    }
-
     /// Notes that a group is not with this entry any more.
     pub fn note_back(&mut self, name: &InstanceId) {
         if let Some(known) = self.known.get_mut(name) {
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -106,7 +106,7 @@
     /// Bounds of the log.
     #[serde(default)]
     pub log: LogRates,
-    /// Shards of a search above which other entries collect groups of them.
+    /// Shards of a search above which other entries of the zone collect groups of them.
     #[serde(default = "default_delegate_above")]
     pub delegate_above: usize,
     /// Memory of the process in megabytes.
