An entry collects groups once it knows what the controllers know

Cause: reading on: an entry that has just started is told to the others before it knows the table and all servers, and reports its groups short. A line to an entry that stands still kept its bytes without bound, since the bound was looked at only when the socket took more. Change: hornbeam_discovery::Settling; until then groups are declined and sent from where they came; the bound of a line is looked at with each message. Test: hornbeam_discovery/tests/settling.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeam_discovery::{Feeds, Reach};
-use hornbeam_model::{AttemptId, InstanceId, QueryId};
+use hornbeam_discovery::{Feeds, Reach, Settling};
+use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::gather::{GatheredPart, GatheredParts};
@@ -102,6 +102,8 @@
     backends: Backends,
     /// Groups of shards between entries.
     pub mergers: Mergers,
+    settling: Cell<Settling>,
+    started: Mono,
     /// True once the entry is told to stop.
     leaving: Cell<bool>,
     callers: RefCell<HashMap<QueryId, oneshot::Sender<Reply>>>,
@@ -132,6 +134,8 @@
             log,
             backends: Backends::default(),
             mergers,
+            settling: Cell::default(),
+            started: clock.now(),
             leaving: Cell::new(false),
             callers: RefCell::default(),
             requests: RefCell::default(),
@@ -156,6 +160,7 @@
     /// Takes how the controllers are heard.
     pub fn note_feeds(&self, feeds: Feeds) {
         self.metrics.fresh_feeds.set(feeds.fresh as i64);
+        self.settle(feeds);
         let (avoided, usable) = self.with_engine(|e| (e.avoided_servers(), e.usable_servers()));
         let mut reach = self.reach.get();
         if reach.update(feeds, avoided, usable) {
@@ -168,6 +173,20 @@
         self.reach.set(reach);
     }
 
+    /// Notes whether this entry knows what the controllers know.
+    fn settle(&self, feeds: Feeds) {
+        let has_table = self.with_engine(|e| e.table().is_some());
+        let age = self.clock.now().since(self.started);
+        let mut settling = self.settling.get();
+        if settling.update(feeds, has_table, age) {
+            let what = json!({
+                "belief": "settled", "fresh_feeds": feeds.fresh, "known_feeds": feeds.known,
+            });
+            self.log.write("settled", false, &what);
+        }
+        self.settling.set(settling);
+    }
+
     /// True if this entry is cut off: callers are served better elsewhere.
     pub fn is_cut_off(&self) -> bool {
         self.reach.get().is_cut_off()
@@ -186,7 +205,7 @@
 
     /// True if this entry collects groups for others: it knows the servers, and stays.
     pub fn takes_groups(&self) -> bool {
-        !self.leaving.get() && !self.is_cut_off()
+        self.settling.get().is_settled() && !self.leaving.get() && !self.is_cut_off()
     }
 
     /// Begins to collect a group for another entry.
--- a/crates/hornbeam_entry/src/line.rs
+++ b/crates/hornbeam_entry/src/line.rs
@@ -17,8 +17,9 @@
 
 /// Longest message taken or sent, in bytes: a request body of the longest kind with its head.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
-/// Bytes that may wait for the other entry; one that does not keep up is taken for lost.
-const MAX_PENDING_BYTES: usize = 8 << 20;
+/// Bytes that may wait for the other entry; one that does not keep up loses the connection. A part of the
+/// smallest entry's memory, times the entries of a zone.
+const MAX_PENDING_BYTES: usize = 2 << 20;
 /// Room for one read, in bytes.
 const READ_BYTES: usize = 8 << 10;
 /// Time after which unacknowledged bytes break the connection: the other entry is cut off.
@@ -62,6 +63,9 @@
         bytes.extend_from_slice(&(frame.len() as u32).to_le_bytes());
         bytes.extend_from_slice(&frame);
         let mut pending = self.pending.borrow_mut();
+        if pending.len() > MAX_PENDING_BYTES {
+            return self.close();
+        }
         // An error shows at the next read.
         let written =
             if pending.is_empty() { self.stream.try_write(&bytes).unwrap_or(0) } else { 0 };
@@ -117,9 +121,6 @@
 
     fn flush(&self) -> io::Result<()> {
         let mut pending = self.pending.borrow_mut();
-        if pending.len() > MAX_PENDING_BYTES {
-            return Err(io::Error::other("the other entry does not keep up"));
-        }
         match self.stream.try_write(&pending) {
             Ok(written) => pending.advance(written),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
