--- a/crates/hornbeamctl/src/explain.rs
+++ b/crates/hornbeamctl/src/explain.rs
@@ -61,8 +61,26 @@
             latest.insert((kind.to_owned(), about), line.clone());
         }
     }
-    let cause = cause(&lines);
-    Explanation { lines, beliefs: latest.into_values().collect(), cause }
+    let beliefs: Vec<Line> = latest.into_values().collect();
+    let cause = format!("{}{}", cause(&lines), network(&beliefs));
+    Explanation { lines, beliefs, cause }
+}
+
+/// Points to the network of an entry that had lost most of its controllers.
+fn network(beliefs: &[Line]) -> String {
+    let of_kind = |kind: &'static str| beliefs.iter().filter(move |l| text(l, "belief") == kind);
+    let last_open = |lost: &Line| {
+        let same = |l: &&Line| {
+            l.instance == lost.instance && text(l, "controller") == text(lost, "controller")
+        };
+        of_kind("feed_open").find(same).is_some_and(|l| l.unix_ms > lost.unix_ms)
+    };
+    let lost = of_kind("feed_lost").filter(|l| !last_open(l)).count();
+    let known = of_kind("feed_open").count().max(lost);
+    if lost == 0 || 2 * lost < known {
+        return String::new();
+    }
+    format!("; the entry had lost {lost} of {known} controllers: look at its network")
 }
 
 /// What became of the groups of shards that other entries collected, if something is lacking.
--- a/crates/hornbeamctl/tests/explanations.rs
+++ b/crates/hornbeamctl/tests/explanations.rs
@@ -113,3 +113,35 @@
     assert!(cause.contains("entry-9 did not collect 9 shards (not_begun)"), "{cause}");
     assert!(cause.contains("entry-4 collected a group without 2 shards"), "{cause}");
 }
+
+/// Three requests of a day of a hunt on hanak-search (`hunt-2e3e-31`), cut from the logs of its entries.
+const HUNTED: &str = r#"
+{"unix_ms":1776164735639,"instance":"edge-hana-prostejov-1","belief":"feed_open","controller":"10.1.0.43"}
+{"unix_ms":1776164735639,"instance":"edge-hana-prostejov-1","belief":"feed_open","controller":"10.2.0.24"}
+{"unix_ms":1776164735639,"instance":"edge-hana-prostejov-1","belief":"feed_open","controller":"10.3.0.18"}
+{"unix_ms":1776164735642,"instance":"edge-hana-prostejov-1","belief":"feed_open","controller":"10.4.0.35"}
+{"unix_ms":1776164736511,"instance":"edge-hana-prerov-2","decision":"admitted","request":"e0ac0a0d9a3c40ae","route":"r-vjxzx8u","table":8,"deadline_ms":1200,"shards":20,"sent":19,"waiting":1,"lacking":0}
+{"unix_ms":1776164736528,"instance":"edge-hana-prerov-2","decision":"sent","request":"e0ac0a0d9a3c40ae","attempt":944,"kind":"hedge","service":"bazi5q","server":"i-db5e3c3b63","cost":1.5125016204420372,"outstanding":1,"left_ms":1182}
+{"unix_ms":1776164736528,"instance":"edge-hana-prerov-2","decision":"hedge_denied","request":"e0ac0a0d9a3c40ae","service":"bowu93w","entries":9}
+{"unix_ms":1776164736578,"instance":"edge-hana-prerov-2","decision":"answered","request":"e0ac0a0d9a3c40ae","route":"r-vjxzx8u","took_ms":67,"parts":18,"missing":2,"waiting":1,"late":1,"sends":20}
+{"unix_ms":1776164750674,"instance":"edge-hana-kromeriz-1","decision":"sent","request":"8a7807fbfba0c874","attempt":1728,"kind":"first","service":"dezi52c","server":"i-1298a2844d","cost":1.037148752458355,"outstanding":1,"left_ms":4000}
+{"unix_ms":1776164750675,"instance":"edge-hana-kromeriz-1","decision":"attempt_failed","request":"8a7807fbfba0c874","attempt":1728,"kind":"first","server":"i-1298a2844d","outcome":"lost","after_ms":0,"retried":false}
+{"unix_ms":1776164750675,"instance":"edge-hana-kromeriz-1","decision":"refused","request":"8a7807fbfba0c874","route":"r-7u9q2sb","reason":"failed","took_ms":0,"parts":0,"sends":1,"retry_after_ms":null,"queue":0,"usable":5}
+{"unix_ms":1776164765341,"instance":"edge-hana-prostejov-1","belief":"feed_lost","controller":"10.2.0.24","heard_ms_ago":1201,"reason":"timed out"}
+{"unix_ms":1776164765419,"instance":"edge-hana-prostejov-1","belief":"feed_lost","controller":"10.3.0.18","heard_ms_ago":1200,"reason":"timed out"}
+{"unix_ms":1776164765529,"instance":"edge-hana-prostejov-1","belief":"feed_lost","controller":"10.4.0.35","heard_ms_ago":1201,"reason":"timed out"}
+{"unix_ms":1776164765765,"instance":"edge-hana-prostejov-1","decision":"refused","request":"919bbe7a196f544e","route":"r-u37sp36","reason":"overloaded","took_ms":0,"parts":0,"sends":0,"retry_after_ms":53,"queue":7,"usable":48}
+"#;
+
+#[test]
+fn hunted_day() {
+    let cause = |request: &str| explain(request, parse(HUNTED)).cause;
+    let short = cause("e0ac0a0d9a3c40ae");
+    assert!(short.contains("1 found no room at a server, 1 were out"), "{short}");
+    assert!(short.contains("1 second attempts were denied by the budget"), "{short}");
+    let refused = cause("919bbe7a196f544e");
+    assert!(refused.contains("has not run: 7 requests waited"), "{refused}");
+    assert!(refused.contains("lost 3 of 4 controllers: look at its network"), "{refused}");
+    let write = cause("8a7807fbfba0c874");
+    assert!(write.contains("may have run") && write.contains("not sent again"), "{write}");
+}
