A test of changed settings with real processes

Change: none in the programs. Test: hornbeamrun/tests/fleet changed_settings: other seeds without a signal, a faulty file with one.

--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -49,9 +49,11 @@
     pub bind: IpAddr,
     /// Links to it; carried only for controllers.
     pub links: Links,
-    settings: PathBuf,
+    /// Its settings file.
+    pub settings: PathBuf,
     data: PathBuf,
-    log: PathBuf,
+    /// Its log.
+    pub log: PathBuf,
     child: Option<Child>,
 }
 
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -12,6 +12,7 @@
 use hornbeam_soak::run::{Options, Stage, play, table};
 use hornbeam_standin::LoadReport;
 use hornbeam_standin::routed::Habit;
+use rustix::process::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -279,3 +280,37 @@
     assert!(text.contains(&expected), "{text}");
     standins.kill().await.unwrap();
 }
+
+/// Waits until the log of a program has a line with this text.
+async fn wait_for_line(log: &Path, part: &str) {
+    let mut text = String::new();
+    for _ in 0..50 {
+        text = std::fs::read_to_string(log).unwrap();
+        if text.contains(part) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("no line has {part}:\n{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_settings() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = stage(20, (1, 1), folder.path()).await;
+    for program in &stage.fleet.programs {
+        let before = std::fs::read_to_string(&program.settings).unwrap();
+        // Without a signal; the file is looked at now and then.
+        let other = before.replace("seeds: [", "seeds: [\"127.0.20.77:7000\", ");
+        std::fs::write(&program.settings, other).unwrap();
+        wait_for_line(&program.log, "127.0.20.77:7000").await;
+        std::fs::write(&program.settings, "colour: red\n").unwrap();
+        program.signal(Signal::HUP);
+        wait_for_line(&program.log, "settings_kept").await;
+    }
+    let host = format!("host: {HOST}");
+    let head = format!("GET /lookup/1 HTTP/1.1\r\n{host}\r\nhornbeam-request-id: h1");
+    stage.ledger.note_asked("h1");
+    let line = raw(&stage, &request(&head)).await;
+    assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+}
