--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -7,14 +7,10 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{Feeds, Reach, Settling};
-use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId};
+use hornbeam_model::{AttemptId, Mono, QueryId};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
-use hornbeam_protocol::gather::{GatheredPart, GatheredParts};
-use hornbeam_route::{
-    Decision, Delegation, Engine, GroupRequest, Input, Outcome, Output, Refusal, Verdict,
-    merge_records,
-};
+use hornbeam_route::{Decision, Engine, Input, Outcome, Output, Refusal, Verdict, merge_records};
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
@@ -84,7 +80,7 @@
 
 /// What an attempt or a group brought.
 #[derive(Debug)]
-enum Brought {
+pub(crate) enum Brought {
     Answer(RawAnswer),
     Gathered(Gathered),
 }
@@ -98,17 +94,17 @@
     pub dialect: Dialect,
     /// The metrics.
     pub metrics: Metrics,
-    log: StructuredLog,
+    pub(crate) log: StructuredLog,
     backends: Backends,
     /// Groups of shards between entries.
     pub mergers: Mergers,
-    settling: Cell<Settling>,
-    started: Mono,
+    pub(crate) settling: Cell<Settling>,
+    pub(crate) started: Mono,
     /// True once the entry is told to stop.
-    leaving: Cell<bool>,
+    pub(crate) leaving: Cell<bool>,
     callers: RefCell<HashMap<QueryId, oneshot::Sender<Reply>>>,
-    requests: RefCell<HashMap<QueryId, Rc<RequestParts>>>,
-    answers: RefCell<HashMap<AttemptId, Brought>>,
+    pub(crate) requests: RefCell<HashMap<QueryId, Rc<RequestParts>>>,
+    pub(crate) answers: RefCell<HashMap<AttemptId, Brought>>,
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
     next_key: Cell<u64>,
     reach: Cell<Reach>,
@@ -173,20 +169,6 @@
         self.reach.set(reach);
     }
 
-    /// Notes whether this entry knows what the controllers know.
-    fn settle(&self, feeds: Feeds) {
-        let has_table = self.with_engine(|e| e.table().is_some());
-        let age = self.clock.now().since(self.started);
-        let mut settling = self.settling.get();
-        if settling.update(feeds, has_table, age) {
-            let what = json!({
-                "belief": "settled", "fresh_feeds": feeds.fresh, "known_feeds": feeds.known,
-            });
-            self.log.write("settled", false, &what);
-        }
-        self.settling.set(settling);
-    }
-
     /// True if this entry is cut off: callers are served better elsewhere.
     pub fn is_cut_off(&self) -> bool {
         self.reach.get().is_cut_off()
@@ -197,49 +179,6 @@
         QueryId(self.next_key.replace(self.next_key.get() + 1))
     }
 
-    /// Takes no more groups of other entries.
-    pub fn leave(&self) {
-        self.leaving.set(true);
-        self.mergers.leave();
-    }
-
-    /// True if this entry collects groups for others: it knows the servers, and stays.
-    pub fn takes_groups(&self) -> bool {
-        self.settling.get().is_settled() && !self.leaving.get() && !self.is_cut_off()
-    }
-
-    /// Begins to collect a group for another entry.
-    pub fn begin_gathering(self: &Rc<Self>, parts: RequestParts, group: GroupRequest) {
-        self.requests.borrow_mut().insert(group.key, Rc::new(parts));
-        self.step(Input::Gather(group));
-    }
-
-    /// The entry that asked for a group needs it no longer.
-    pub fn cancel_gathering(self: &Rc<Self>, key: QueryId) {
-        self.requests.borrow_mut().remove(&key);
-        self.step(Input::GatherCancelled(key));
-    }
-
-    /// Keeps what another entry has collected of a group.
-    pub fn keep_gathered(&self, group: AttemptId, new: Gathered) {
-        let mut answers = self.answers.borrow_mut();
-        let empty = || Brought::Gathered(Gathered::default());
-        if let Brought::Gathered(known) = answers.entry(group).or_insert_with(empty) {
-            known.signatures.extend(new.signatures);
-            known.records.extend(new.records);
-        }
-    }
-
-    /// Notes that the connection to another entry is open, or why it has ended.
-    pub fn note_line(&self, peer: &InstanceId, ended: Option<&std::io::Error>) {
-        let Some(reason) = ended else {
-            let what = json!({"belief": "line_open", "peer": peer});
-            return self.log.write("line_open", false, &what);
-        };
-        let what = json!({"belief": "line_lost", "peer": peer, "reason": reason.to_string()});
-        self.log.write("line_lost", true, &what);
-    }
-
     /// Takes in a request; its name and where its reply comes.
     pub fn begin(self: &Rc<Self>, taken: Taken) -> (QueryId, oneshot::Receiver<Reply>) {
         let Taken { parts, host, path, wait, opened_connection } = taken;
@@ -327,43 +266,6 @@
         }
     }
 
-    fn delegate(self: &Rc<Self>, delegation: Delegation) {
-        let Some(parts) = self.requests.borrow().get(&delegation.request).cloned() else { return };
-        self.metrics.groups_given.inc();
-        self.mergers.give(self, delegation, &parts);
-    }
-
-    /// The parts that attempts brought, and their greatest records.
-    fn collect(&self, parts: &[(usize, AttemptId)], limit: usize) -> (Vec<GatheredPart>, Vec<u8>) {
-        let mut answers = self.answers.borrow_mut();
-        let (mut gathered, mut bodies) = (Vec::new(), Vec::new());
-        for (shard, attempt) in parts {
-            let Some(Brought::Answer(answer)) = answers.remove(attempt) else { continue };
-            let Some(signature) = answer.header(&self.dialect.signature) else { continue };
-            let part = GatheredPart { shard: *shard as u32, signature: signature.to_vec() };
-            gathered.push(part);
-            bodies.push(answer.body);
-        }
-        (gathered, merge_records(bodies.iter().map(|b| &b[..]), limit))
-    }
-
-    /// Tells the entry that asked for a group which of its shards are in.
-    fn report(
-        &self,
-        key: QueryId,
-        (parts, records): (Vec<GatheredPart>, Vec<u8>),
-        waits: &[(usize, Duration)],
-        last: bool,
-    ) {
-        let waits = waits.iter().map(|(shard, wait)| (*shard as u32, wait.as_millis() as u32));
-        let parts = GatheredParts { group: 0, parts, records, waits: waits.collect(), last };
-        if last {
-            self.requests.borrow_mut().remove(&key);
-            self.metrics.groups_collected.inc();
-        }
-        self.mergers.report(key, parts);
-    }
-
     fn send(self: &Rc<Self>, send: hornbeam_route::Send) {
         let Some(parts) = self.requests.borrow().get(&send.request).cloned() else { return };
         let attempt = send.attempt;
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`front`]: callers' connections
 //! - [`answer`]: reads a server's answer
 //! - [`backends`]: connections to backend servers
+//! - [`groups`]: groups of shards at the core
 //! - [`mergers`]: groups of shards between entries
 //! - [`line`]: a connection between two entries
 //! - [`feeds`]: follows the controllers on a thread of its own
@@ -20,6 +21,7 @@
 pub mod dialect;
 pub mod feeds;
 pub mod front;
+pub mod groups;
 pub mod line;
 pub mod mergers;
 pub mod metrics;
--- a/crates/hornbeam_route/src/engine/delegating.rs
+++ b/crates/hornbeam_route/src/engine/delegating.rs
@@ -266,16 +266,13 @@
         }
     }
 
-    fn suspect_peer(&mut self, now: Mono, peer: &InstanceId, out: &mut Vec<Output>) {
+    /// Gives an entry no groups until it is heard again.
+    pub(super) fn suspect_peer(&mut self, now: Mono, peer: &InstanceId, out: &mut Vec<Output>) {
         if self.peers.suspect(now, peer) {
             out.push(Output::Log(Decision::PeerSuspected { peer: peer.clone() }));
         }
     }
 
-    pub(super) fn on_peer_leaving(&mut self, now: Mono, peer: &InstanceId, out: &mut Vec<Output>) {
-        self.suspect_peer(now, peer, out);
-    }
-
     /// Notes that another entry was heard.
     pub(super) fn hear_peer(&mut self, peer: &InstanceId, out: &mut Vec<Output>) {
         if self.peers.hear(peer) {
