One copy of how requests are tallied, forgotten and begun; no copies of a search's shards for each group

Cause: reading the whole change again. What an answer lacks was counted alike in answers and groups, what nobody needs was forgotten in four places, three fields of a request belonged to groups only, every group copied the route with all its shards and then again for the wire, entry and controller served metrics alike, three accept loops and the length before a frame stood again, and two types of the entry were called Line. Change: Running::new, tally, counted and Collecting; forget_all and forget_failures; Route::with_target; program::serve_metrics and next_connection; frames::prefixed; feeds::Subscription.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -6,6 +6,7 @@
 
 use hornbeam_model::TableVersion;
 use hornbeam_node::frames::{read_frame, write_frame};
+use hornbeam_node::program::next_connection;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryOffer, FEED_HEARTBEAT_MS, FeedUp, Trouble};
 use tokio::io::AsyncRead;
@@ -18,8 +19,6 @@
 const QUEUE_FRAMES: usize = 256;
 /// Longest frame taken from an entry, in bytes.
 const MAX_UP_BYTES: usize = 64 << 10;
-/// Wait after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Names one connection of an entry.
 pub type FeedId = u64;
@@ -55,10 +54,7 @@
     tokio::task::spawn_local(async move {
         let mut next: FeedId = 1;
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = next_connection(&listener).await;
             let (key, tx, id) = (key.clone(), tx.clone(), next);
             next += 1;
             tokio::task::spawn_local(async move {
--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -49,14 +49,8 @@
     let listener = TcpListener::bind(api_address).await;
     let listener = listener.context(BindSnafu { field: "api", address: api_address })?;
     let metrics = Metrics::default();
-    if let Some(address) = settings.metrics {
-        let shown = metrics.clone();
-        let pages: hornbeam_node::pages::Pages = Rc::new(move |path| {
-            (path == "/metrics").then(|| (hyper::StatusCode::OK, shown.text()))
-        });
-        let served = hornbeam_node::pages::serve(address, pages).await;
-        served.context(BindSnafu { field: "metrics", address })?;
-    }
+    let shown = metrics.clone();
+    program::serve_metrics(settings.metrics, move || shown.text()).await?;
     let what = json!({"lifecycle": "started", "role": "controller", "zone": settings.zone});
     log.write("lifecycle", false, &what);
     let (ask_tx, asks) = mpsc::unbounded_channel();
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -154,14 +154,14 @@
         }
         let Some(address) = self.params.settings.feed_address(controller) else { return };
         let (up, rx) = mpsc::unbounded_channel();
-        let line = Line {
+        let subscription = Subscription {
             controller: controller.clone(),
             me: self.offer(),
             address,
             key: self.key.clone(),
             events: self.events.clone(),
         };
-        let task = tokio::task::spawn_local(line.keep(rx)).abort_handle();
+        let task = tokio::task::spawn_local(subscription.keep(rx)).abort_handle();
         let heard = self.params.clock.now();
         let feed = Feed { up, task, heard, connected: false, entries: 0, zone_entries: Vec::new() };
         self.feeds.insert(controller.clone(), feed);
@@ -377,7 +377,7 @@
 }
 
 /// The connection to one controller.
-struct Line {
+struct Subscription {
     controller: InstanceId,
     me: EntryOffer,
     address: SocketAddr,
@@ -385,13 +385,13 @@
     events: mpsc::UnboundedSender<(InstanceId, FeedNote)>,
 }
 
-impl Line {
+impl Subscription {
     /// Opens the feed again and again.
     async fn keep(self, mut rx: mpsc::UnboundedReceiver<FeedUp>) {
-        let line = Rc::new(self);
+        let subscription = Rc::new(self);
         loop {
-            let error = line.follow_once(&mut rx).await;
-            line.tell(FeedNote::Lost(error));
+            let error = subscription.follow_once(&mut rx).await;
+            subscription.tell(FeedNote::Lost(error));
             tokio::time::sleep(RETRY_EVERY).await;
         }
     }
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hornbeam_model::QueryId;
+use hornbeam_node::program::next_connection;
 use hornbeam_route::{Refusal, RefusalKind};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -28,8 +29,6 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Smallest read buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER: usize = 8 << 10;
-/// Wait after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How far the entry is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,17 +49,13 @@
     open: Rc<Cell<usize>>,
 ) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = next_connection(&listener) => stream,
             closing = stage.wait_for(|s| *s == Stage::Closing) => {
                 drop(closing);
                 return;
             }
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
         if open.get() >= MAX_CONNECTIONS {
             log::warn!("a connection was closed: {MAX_CONNECTIONS} are open; add entries");
             continue;
--- a/crates/hornbeam_entry/src/line.rs
+++ b/crates/hornbeam_entry/src/line.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use hornbeam_node::frames::prefixed;
 use hornbeam_protocol::FrameKey;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -59,9 +60,7 @@
             Ok(frame) => frame,
             Err(e) => return log::error!("a message to another entry cannot be encoded: {e}"),
         };
-        let mut bytes = Vec::with_capacity(4 + frame.len());
-        bytes.extend_from_slice(&(frame.len() as u32).to_le_bytes());
-        bytes.extend_from_slice(&frame);
+        let bytes = prefixed(&frame);
         let mut pending = self.pending.borrow_mut();
         if pending.len() > MAX_PENDING_BYTES {
             return self.close();
--- a/crates/hornbeam_entry/src/mergers.rs
+++ b/crates/hornbeam_entry/src/mergers.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use hornbeam_model::{AttemptId, InstanceId, QueryId};
+use hornbeam_node::program::next_connection;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::gather::{GatherDown, GatherRequest, GatherUp, GatheredParts};
 use hornbeam_route::{Delegation, GroupNews, GroupRequest, Input};
@@ -21,8 +22,6 @@
 
 /// Longest time to open a connection to another entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Wait after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Names one connection that this entry has opened.
 type LinkId = u64;
@@ -78,7 +77,7 @@
         let request = GatherRequest {
             group: delegation.group.0,
             request: parts.id.clone(),
-            route: (*delegation.route).clone(),
+            route: delegation.route,
             head: parts.head.clone(),
             body: parts.body.to_vec(),
             due_us: delegation.due_in.as_micros() as u64,
@@ -297,10 +296,7 @@
 /// Takes the connections of other entries that give groups to this one.
 pub async fn accept(core: Rc<Core>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = next_connection(&listener).await;
         let line = match Line::new(stream, core.mergers.key.clone()) {
             Ok(line) => Rc::new(line),
             Err(e) => {
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -95,10 +95,8 @@
         let pages = ready_pages(&core, stage.clone(), ready_path);
         serve(address, pages).await.context(BindSnafu { field: "ready", address })?;
     }
-    if let Some(address) = settings.metrics {
-        let pages = metrics_pages(&core);
-        serve(address, pages).await.context(BindSnafu { field: "metrics", address })?;
-    }
+    let shown = core.metrics.clone();
+    program::serve_metrics(settings.metrics, move || shown.text()).await?;
     let inner = settings.bound(SocketAddr::new(settings.address, settings.inner_port));
     let groups = TcpListener::bind(inner).await;
     let groups = groups.context(BindSnafu { field: "inner_port", address: inner })?;
@@ -228,11 +226,6 @@
     })
 }
 
-fn metrics_pages(core: &Rc<Core>) -> Pages {
-    let core = core.clone();
-    Rc::new(move |path| (path == "/metrics").then(|| (StatusCode::OK, core.metrics.text())))
-}
-
 /// Tells callers to go elsewhere, then takes no more connections, closes idle ones, and waits until the
 /// others have ended with their answers.
 async fn drain(core: &Rc<Core>, open: &Cell<usize>, stage: &watch::Sender<Stage>, grace: Duration) {
--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -127,6 +127,17 @@
         Duration::from_millis(u64::from(ms))
     }
 
+    /// The same route to another target.
+    pub fn with_target(&self, target: Target) -> Self {
+        Self {
+            name: self.name.clone(),
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+            target,
+            ..*self
+        }
+    }
+
     /// The services that requests may reach.
     pub fn services(&self) -> Vec<&ServiceId> {
         match &self.target {
--- a/crates/hornbeam_node/src/program.rs
+++ b/crates/hornbeam_node/src/program.rs
@@ -3,17 +3,23 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 
 use hornbeam_model::Mono;
 use hornbeam_settings::{FleetSettings, SettingsError};
+use hyper::StatusCode;
 use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock::suspended;
+use crate::pages::{Pages, serve};
 use crate::structured::StructuredLog;
 
 /// Time between two looks at the settings file.
 const SETTINGS_EVERY: Duration = Duration::from_secs(1);
+/// Wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Growth of the suspended time that is taken for a suspension.
 const SUSPENSION: Duration = Duration::from_millis(300);
 
@@ -71,6 +77,30 @@
     local.block_on(&runtime, serve(settings, log))
 }
 
+/// Serves the metrics of a program, if its settings say where.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn serve_metrics(
+    address: Option<SocketAddr>,
+    text: impl Fn() -> Vec<u8> + 'static,
+) -> Result<(), ProgramError> {
+    let Some(address) = address else { return Ok(()) };
+    let pages: Pages = Rc::new(move |path| (path == "/metrics").then(|| (StatusCode::OK, text())));
+    serve(address, pages).await.context(BindSnafu { field: "metrics", address })
+}
+
+/// The next connection of a listener; a failed accept, such as for want of descriptors, is tried again.
+pub async fn next_connection(listener: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            return stream;
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
 /// Looks for changes of the settings file.
 #[derive(Debug)]
 pub struct SettingsWatch {
--- a/crates/hornbeam_route/src/engine/delegating.rs
+++ b/crates/hornbeam_route/src/engine/delegating.rs
@@ -3,7 +3,6 @@
 //! An entry that sends to every shard itself works for longer than a short objective allows. It gives
 //! groups of shards to other entries of its zone, which send, hedge and merge in parallel.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId, Route, Scatter, ServiceId, Target};
@@ -97,7 +96,7 @@
             request: key,
             peer: peer.name.clone(),
             address: peer.address,
-            route: Arc::new(part_of(&running.route, running.limit() as u32, names.collect())),
+            route: part_of(&running.route, running.limit() as u32, names.collect()),
             due_in: running.answer_by.since(now) * (100 - REPORT_PERCENT) / 100,
             left: running.deadline.since(now),
         };
@@ -290,5 +289,5 @@
 /// The route for a group of its shards: whatever comes of them is of use.
 fn part_of(route: &Route, limit: u32, shards: Vec<ServiceId>) -> Route {
     let target = Target::Scatter(Scatter { shards, limit, min_covered_ppm: 0 });
-    Route { target, ..route.clone() }
+    route.with_target(target)
 }
--- a/crates/hornbeam_route/src/engine/finish.rs
+++ b/crates/hornbeam_route/src/engine/finish.rs
@@ -1,7 +1,6 @@
 //! Answers and refusals.
 
 use hornbeam_model::{AttemptId, Mono, QueryId, Target};
-use indexmap::IndexSet;
 
 use super::{Engine, Output, Verdict};
 use crate::decision::Decision;
@@ -78,29 +77,18 @@
 
     fn answer(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.drop_request(now, key, out) else { return };
-        // A group stands for all its shards that are in.
-        let attempts: IndexSet<AttemptId> = running
-            .cells
-            .iter()
-            .filter_map(|c| match c.state {
-                CellState::In(attempt) => Some(attempt),
-                CellState::Open | CellState::Lacking => None,
-            })
-            .collect();
-        let attempts: Vec<AttemptId> = attempts.into_iter().collect();
+        let attempts: Vec<AttemptId> = running.counted().into_iter().collect();
         let missing = running.cells.len() - running.parts;
-        for cell in &running.cells {
-            out.extend(cell.failure.map(Output::Forget));
-        }
-        let open = running.cells.iter().filter(|c| c.state == CellState::Open);
+        forget_failures(&running, out);
+        let tally = running.tally();
         out.push(Output::Log(Decision::Answered {
             request: running.id.clone(),
             route: running.route.name.clone(),
             took_ms: now.since(running.arrived).as_millis() as u64,
             parts: running.parts,
             missing,
-            waiting: open.clone().filter(|c| c.is_waiting()).count(),
-            late: open.filter(|c| !c.is_waiting()).count(),
+            waiting: tally.waiting,
+            late: tally.late,
             sends: running.sends,
         }));
         let verdict = match &running.route.target {
@@ -131,12 +119,7 @@
 
     fn refuse(&mut self, now: Mono, key: QueryId, kind: RefusalKind, out: &mut Vec<Output>) {
         let Some(running) = self.drop_request(now, key, out) else { return };
-        for cell in &running.cells {
-            if let CellState::In(attempt) = cell.state {
-                out.push(Output::Forget(attempt));
-            }
-            out.extend(cell.failure.map(Output::Forget));
-        }
+        forget_all(&running, out);
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, None) };
         self.log_refusal(now, &running, kind, Some(refusal), out);
         out.push(Output::Finish { request: key, verdict: Verdict::Refuse(refusal) });
@@ -167,12 +150,7 @@
 
     pub(super) fn on_caller_gone(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.drop_request(now, key, out) else { return };
-        for cell in &running.cells {
-            if let CellState::In(attempt) = cell.state {
-                out.push(Output::Forget(attempt));
-            }
-            out.extend(cell.failure.map(Output::Forget));
-        }
+        forget_all(&running, out);
         out.push(Output::Log(Decision::CallerGone {
             request: running.id.clone(),
             took_ms: now.since(running.arrived).as_millis() as u64,
@@ -198,3 +176,14 @@
         Some(running)
     }
 }
+
+/// Nobody needs what the attempts of a request have brought.
+pub(super) fn forget_all(running: &Running, out: &mut Vec<Output>) {
+    out.extend(running.counted().into_iter().map(Output::Forget));
+    forget_failures(running, out);
+}
+
+/// Nobody needs the failures that servers have answered with.
+pub(super) fn forget_failures(running: &Running, out: &mut Vec<Output>) {
+    out.extend(running.cells.iter().filter_map(|c| c.failure).map(Output::Forget));
+}
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{Mono, QueryId, Route, TableVersion, Target};
+use hornbeam_model::{Mono, QueryId, Route, Target};
 use smol_str::SmolStr;
 
+use super::finish::{forget_all, forget_failures};
 use super::{Engine, Output};
 use crate::decision::Decision;
-use crate::request::{Cell, CellState, Running};
+use crate::request::{Cell, CellState, Collecting, Running};
 
 /// Time of the deadline kept back for the way to the entry that asked.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
@@ -44,24 +45,11 @@
         }
         let key = asked.key;
         let running = Running {
-            key,
-            id: asked.id,
-            table: TableVersion(0),
             arrived: now,
             deadline: now + asked.left.saturating_sub(DEADLINE_MARGIN),
             answer_by: now + asked.due_in,
-            cells: services.into_iter().map(Cell::new).collect(),
-            parts: 0,
-            min_parts: 0,
-            sends: 0,
-            overdue: false,
-            armed: Mono::MAX,
-            groups: Vec::new(),
-            take_back_at: None,
-            untold: Some(Vec::new()),
-            told: false,
-            confirmed: false,
-            route: asked.route,
+            collecting: Some(Collecting::default()),
+            ..Running::new(key, asked.id, asked.route, services)
         };
         self.requests.insert(key, running);
         self.place_all(now, key, out);
@@ -77,12 +65,11 @@
         if running.cells.iter().find(sound).is_none() {
             return self.end_gathering(now, key, out);
         }
-        let Some(untold) = running.untold.as_mut() else { return };
-        let due = now >= running.answer_by;
-        // Also if nothing is in: it shows that this entry is at work.
-        if due && (!untold.is_empty() || !std::mem::replace(&mut running.told, true)) {
-            running.told = true;
-            let parts = std::mem::take(untold);
+        let Some(collecting) = running.collecting.as_mut() else { return };
+        // Once also if nothing is in: it shows that this entry is at work.
+        if now >= running.answer_by && !(collecting.told && collecting.untold.is_empty()) {
+            collecting.told = true;
+            let parts = std::mem::take(&mut collecting.untold);
             let limit = running.limit();
             let waits = self.waits_of(key);
             out.push(Output::Parts { request: key, parts, waits, limit, last: false });
@@ -92,29 +79,29 @@
     /// Tells the last parts of a group.
     pub(super) fn end_gathering(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let waits = self.waits_of(key);
-        let Some(mut running) = self.drop_request(now, key, out) else { return };
-        for cell in &running.cells {
-            out.extend(cell.failure.map(Output::Forget));
-        }
-        let open = running.cells.iter().filter(|c| c.state == CellState::Open);
+        let Some(running) = self.drop_request(now, key, out) else { return };
+        forget_failures(&running, out);
+        let tally = running.tally();
         out.push(Output::Log(Decision::Gathered {
             request: running.id.clone(),
             took_ms: now.since(running.arrived).as_millis() as u64,
             parts: running.parts,
             missing: running.cells.len() - running.parts,
-            waiting: open.clone().filter(|c| c.is_waiting()).count(),
-            late: open.filter(|c| !c.is_waiting()).count(),
+            waiting: tally.waiting,
+            late: tally.late,
             sends: running.sends,
         }));
-        let parts = running.untold.take().unwrap_or_default();
         let limit = running.limit();
+        let parts = running.collecting.map_or_else(Vec::new, |c| c.untold);
         out.push(Output::Parts { request: key, parts, waits, limit, last: true });
     }
 
     /// Sends second attempts and retries that had to wait for the word of the entry that asked.
     pub(super) fn on_gather_confirmed(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get_mut(&key) else { return };
-        running.confirmed = true;
+        if let Some(collecting) = &mut running.collecting {
+            collecting.confirmed = true;
+        }
         let cells = running.cells.iter().enumerate();
         let held = cells.filter(|(_, c)| c.held).map(|(i, _)| i).collect::<Vec<_>>();
         for cell in held {
@@ -131,11 +118,7 @@
     /// The entry that asked needs the group no longer.
     pub(super) fn on_gather_cancelled(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.drop_request(now, key, out) else { return };
-        let untold = running.untold.into_iter().flatten();
-        out.extend(untold.map(|(_, attempt)| Output::Forget(attempt)));
-        for cell in &running.cells {
-            out.extend(cell.failure.map(Output::Forget));
-        }
+        forget_all(&running, out);
     }
 
     /// Shards of a group whose queue is not empty, and the expected wait.
@@ -151,15 +134,15 @@
 
     fn log_gathering(&self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
-        let cells = running.cells.iter();
+        let tally = running.tally();
         out.push(Output::Log(Decision::Gathering {
             request: running.id.clone(),
             route: running.route.name.clone(),
             due_ms: running.answer_by.since(now).as_millis() as u64,
             shards: running.cells.len(),
-            sent: cells.clone().filter(|c| !c.flights.is_empty()).count(),
-            waiting: cells.clone().filter(|c| c.is_waiting()).count(),
-            lacking: cells.filter(|c| c.state == CellState::Lacking).count(),
+            sent: tally.sent,
+            waiting: tally.waiting,
+            lacking: tally.lacking,
         }));
     }
 }
--- a/crates/hornbeam_route/src/engine/intake.rs
+++ b/crates/hornbeam_route/src/engine/intake.rs
@@ -9,7 +9,7 @@
 
 use super::{Engine, Output, Verdict};
 use crate::decision::Decision;
-use crate::request::{Cell, CellState, Refusal, RefusalKind, Running, answer_by};
+use crate::request::{Refusal, RefusalKind, Running, answer_by};
 
 /// Wait told to a caller while nothing says how long the trouble lasts.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -63,25 +63,14 @@
         }
         let timeout = route.timeout();
         let patience = arrival.wait.map_or(timeout, |wait| wait.min(timeout));
+        let answer_by = answer_by(now, route.objective().min(patience), arrival.opened_connection);
         let running = Running {
-            key: arrival.key,
-            id: arrival.id,
             table: table.version,
             arrived: now,
             deadline: now + patience,
-            answer_by: answer_by(now, route.objective().min(patience), arrival.opened_connection),
-            cells: services.into_iter().map(Cell::new).collect(),
-            parts: 0,
+            answer_by,
             min_parts,
-            sends: 0,
-            overdue: false,
-            armed: Mono::MAX,
-            groups: Vec::new(),
-            take_back_at: None,
-            untold: None,
-            told: false,
-            confirmed: true,
-            route,
+            ..Running::new(arrival.key, arrival.id, route, services)
         };
         let key = running.key;
         self.requests.insert(key, running);
@@ -209,16 +198,16 @@
 
     fn log_admission(&self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
-        let cells = running.cells.iter();
+        let tally = running.tally();
         out.push(Output::Log(Decision::Admitted {
             request: running.id.clone(),
             route: running.route.name.clone(),
             table: running.table,
             deadline_ms: running.deadline.since(now).as_millis() as u64,
             shards: running.cells.len(),
-            sent: cells.clone().filter(|c| !c.flights.is_empty()).count(),
-            waiting: cells.clone().filter(|c| c.is_waiting()).count(),
-            lacking: cells.filter(|c| c.state == CellState::Lacking).count(),
+            sent: tally.sent,
+            waiting: tally.waiting,
+            lacking: tally.lacking,
         }));
     }
 }
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -167,7 +167,7 @@
     /// Where it takes groups.
     pub address: SocketAddr,
     /// The route, with the shards of the group only.
-    pub route: Arc<Route>,
+    pub route: Route,
     /// Time until its parts are due.
     pub due_in: Duration,
     /// Time left for the request.
--- a/crates/hornbeam_route/src/engine/outcome.rs
+++ b/crates/hornbeam_route/src/engine/outcome.rs
@@ -124,8 +124,8 @@
             cell.state = CellState::In(attempt);
             cell.hedge_at = None;
             running.parts += 1;
-            if let Some(untold) = &mut running.untold {
-                untold.push((flight.cell, attempt));
+            if let Some(collecting) = &mut running.collecting {
+                collecting.untold.push((flight.cell, attempt));
             }
             let losers = std::mem::take(&mut cell.flights);
             let failure = cell.failure.take();
@@ -184,7 +184,7 @@
         } else {
             c.runs == 0
         };
-        if !may_run && !running.confirmed {
+        if !may_run && !running.is_confirmed() {
             if let Some(running) = self.requests.get_mut(&key) {
                 running.cells[cell].held = true;
             }
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -76,7 +76,7 @@
         let rank = |k: &Known| xxh3_64_with_seed(k.peer.name.as_str().as_bytes(), group as u64);
         let mut usable: Vec<usize> =
             (0..self.known.len()).filter(|i| !self.known[*i].suspected).collect();
-        usable.sort_by_key(|i| rank(&self.known[*i]));
+        usable.sort_by_cached_key(|i| rank(&self.known[*i]));
         usable.truncate(PEERS_PER_GROUP);
         let least = usable
             .into_iter()
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hornbeam_model::{AttemptId, Mono, QueryId, Route, TableVersion, Target};
+use indexmap::IndexSet;
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -136,6 +137,31 @@
     }
 }
 
+/// A group of shards that this entry collects for another one.
+#[derive(Debug, Default)]
+pub struct Collecting {
+    /// Shards that are in and not told yet, with their attempts.
+    pub untold: Vec<(usize, AttemptId)>,
+    /// True once the entry that asked was told what is in.
+    pub told: bool,
+    /// False until the entry that asked has confirmed that the group was not taken back: until then each
+    /// shard goes to one server only, since that entry may send it to another.
+    pub confirmed: bool,
+}
+
+/// Shards of a request by where they stand.
+#[derive(Clone, Copy, Debug)]
+pub struct Tally {
+    /// Attempts are out.
+    pub sent: usize,
+    /// They wait for room at a server.
+    pub waiting: usize,
+    /// They are open otherwise.
+    pub late: usize,
+    /// Nothing can come any more.
+    pub lacking: usize,
+}
+
 /// One running request.
 #[derive(Debug)]
 pub struct Running {
@@ -169,17 +195,34 @@
     pub groups: Vec<AttemptId>,
     /// When groups that nobody has begun are taken back.
     pub take_back_at: Option<Mono>,
-    /// Shards that are in and not told yet, with their attempts; only for a group that this entry
-    /// collects for another one.
-    pub untold: Option<Vec<(usize, AttemptId)>>,
-    /// True once the entry that asked was told what is in.
-    pub told: bool,
-    /// False for a group until the entry that asked has confirmed that it was not taken back: until then
-    /// each shard goes to one server only, since that entry may send it to another.
-    pub confirmed: bool,
+    /// What else there is to know of a group that this entry collects for another one; nothing for a
+    /// caller's request.
+    pub collecting: Option<Collecting>,
 }
 
 impl Running {
+    /// A request that nothing was sent for, without its times, its table and its fewest parts.
+    pub fn new(key: QueryId, id: SmolStr, route: Arc<Route>, services: Vec<usize>) -> Self {
+        Self {
+            key,
+            id,
+            route,
+            table: TableVersion(0),
+            arrived: Mono::default(),
+            deadline: Mono::default(),
+            answer_by: Mono::default(),
+            cells: services.into_iter().map(Cell::new).collect(),
+            parts: 0,
+            min_parts: 0,
+            sends: 0,
+            overdue: false,
+            armed: Mono::MAX,
+            groups: Vec::new(),
+            take_back_at: None,
+            collecting: None,
+        }
+    }
+
     /// True if every shard is needed from one server of a service only.
     pub fn is_scatter(&self) -> bool {
         matches!(self.route.target, Target::Scatter(_))
@@ -187,7 +230,7 @@
 
     /// Servers that each shard may be sent to now.
     pub fn allowed_attempts(&self) -> u32 {
-        if self.confirmed { self.route.max_attempts } else { 1.min(self.route.max_attempts) }
+        if self.is_confirmed() { self.route.max_attempts } else { 1.min(self.route.max_attempts) }
     }
 
     /// Records in its merged answer.
@@ -200,7 +243,32 @@
 
     /// True if it is a group that this entry collects for another one.
     pub fn is_group(&self) -> bool {
-        self.untold.is_some()
+        self.collecting.is_some()
+    }
+
+    /// True unless it is a group that the entry that asked may still take back.
+    pub fn is_confirmed(&self) -> bool {
+        self.collecting.as_ref().is_none_or(|c| c.confirmed)
+    }
+
+    /// Attempts and groups whose answers count, each once: a group stands for all its shards that are in.
+    pub fn counted(&self) -> IndexSet<AttemptId> {
+        let counted = self.cells.iter().filter_map(|c| match c.state {
+            CellState::In(attempt) => Some(attempt),
+            CellState::Open | CellState::Lacking => None,
+        });
+        counted.collect()
+    }
+
+    /// Where its shards stand.
+    pub fn tally(&self) -> Tally {
+        let count = |what: fn(&Cell) -> bool| self.cells.iter().filter(|c| what(c)).count();
+        Tally {
+            sent: count(|c| !c.flights.is_empty()),
+            waiting: count(Cell::is_waiting),
+            late: count(|c| c.state == CellState::Open && !c.is_waiting()),
+            lacking: count(|c| c.state == CellState::Lacking),
+        }
     }
 
     /// True if some attempt ran or may have run.
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -481,7 +481,7 @@
         let asked = GroupRequest {
             key,
             id: format!("r{}", delegation.request).into(),
-            route: delegation.route,
+            route: Arc::new(delegation.route),
             due_in: delegation.due_in,
             left: delegation.left,
         };
