An older membership no longer objects to a voter of a later one

Cause: a starting voter asks all contacts whether its disk is the one they know, and counts each 'Foreign' against the size of its own membership. Standby instances that were voters once answer from old logs, in which a voter that joined later is not listed. Three of them outvote a rightful voter of five, which refuses itself; if it alone holds the latest accepted entry, no leader is elected after the tolerated loss of two disks.

Change: an instance objects only if the log of the starting voter ends before the membership it objects by; a log that reaches further contains that membership, if it was committed. Confirmations count from every instance with a log, since a lagging voter may not know the voters of the later membership. Only the latest reply of an instance counts, and a refused voter takes part once no majority objects any more. The messages are unchanged.

--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -8,6 +8,11 @@
 //! disk has acknowledged a later entry. An instance with an empty disk is no voter and can only
 //! join as a learner.
 //!
+//! An instance replies by the membership in its own log, which may be older than that of the
+//! starting voter, as in the log of a former voter. It objects to a disk that its membership does
+//! not list only if the log of the starting voter ends before that membership. A log that reaches
+//! further contains the membership, if that was committed, and possibly a later one.
+//!
 //! A new log is started only if every initial voter is present and has a blank disk.
 
 use std::time::Duration;
@@ -50,11 +55,13 @@
 pub(super) struct IdentityCheck {
     pub next_hello_at: Mono,
     first_hello_at: Option<Mono>,
-    /// Voters that know this disk and no later state of it.
+    /// Instances with a log that know no later state of this disk. Those that are no voters in the
+    /// membership of this log may be voters in a later one.
     known_by: IndexSet<InstanceId>,
     /// Voters that are blank themselves.
     blank_voters: IndexSet<InstanceId>,
-    /// Voters that know this instance with another disk, or not as a voter.
+    /// Instances whose latest reply is that a membership later than this log lists this instance
+    /// with another disk, or not as a voter.
     foreign_by: IndexSet<InstanceId>,
     /// Instances that have sent a hello and do not vote with their disk.
     pub non_voters: IndexMap<InstanceId, NonVoter>,
@@ -144,7 +151,8 @@
         if self.is_blank() {
             return HelloVerdict::Blank;
         }
-        if self.voter_disk(from) != Some(hello.disk) {
+        let is_listed = self.voter_disk(from) == Some(hello.disk);
+        if !is_listed && hello.last < self.members_position() {
             return HelloVerdict::Foreign;
         }
         let later_start = self.boots.get(from).is_some_and(|known| {
@@ -159,6 +167,15 @@
         HelloVerdict::Known
     }
 
+    /// Returns the position in the log from which on the current membership applies.
+    fn members_position(&self) -> LogPos {
+        if self.members_index == LogIndex::default() {
+            return self.snapshot.last;
+        }
+        let term = self.log.term_at(self.members_index).unwrap_or_default();
+        LogPos { term, index: self.members_index }
+    }
+
     /// Returns the disk of a voter from the membership or, if that names none, from its last hello.
     pub(super) fn voter_disk(&self, voter: &InstanceId) -> Option<DiskId> {
         let from_hello = || self.boots.get(voter).map(|b| b.disk);
@@ -176,13 +193,17 @@
         if nonce != self.params.nonce {
             return;
         }
-        if self.role != Role::Unverified {
+        if verdict == HelloVerdict::Outdated {
             // An objection that arrives after the verification still excludes this disk.
-            if verdict == HelloVerdict::Outdated {
-                self.refuse(OUTDATED_DISK, out);
-            }
+            return self.refuse(OUTDATED_DISK, out);
+        }
+        let is_refused = self.identity.refusal == Some(FOREIGN_DISK);
+        if self.role != Role::Unverified && !is_refused {
             return;
         }
+        // Only the latest reply of an instance counts: its log may have grown since the last one.
+        self.identity.known_by.swap_remove(from);
+        self.identity.foreign_by.swap_remove(from);
         match verdict {
             HelloVerdict::Known => {
                 self.identity.known_by.insert(from.clone());
@@ -190,19 +211,27 @@
             HelloVerdict::Blank => {
                 self.identity.blank_voters.insert(from.clone());
             }
-            HelloVerdict::Outdated => self.refuse(OUTDATED_DISK, out),
             HelloVerdict::Foreign => {
-                // A single voter may not have received the latest replacement; a majority has.
                 self.identity.foreign_by.insert(from.clone());
-                let count = self.identity.foreign_by.len();
-                if self.is_blank() || 2 * count > self.members.voters.len() {
-                    self.refuse(FOREIGN_DISK, out);
-                }
             }
+            HelloVerdict::Outdated => {}
+        }
+        if self.is_foreign() {
+            self.refuse(FOREIGN_DISK, out);
+        } else if is_refused && self.is_voter() {
+            self.identity.refusal = None;
+            self.role = Role::Unverified;
         }
         self.verify(now, out);
     }
 
+    /// Returns true if enough instances object to this disk. The membership that one of them knows
+    /// may never be committed; a majority does not object in that case.
+    fn is_foreign(&self) -> bool {
+        let count = self.identity.foreign_by.len();
+        (self.is_blank() && count > 0) || 2 * count > self.members.voters.len()
+    }
+
     /// Records that this instance may not vote with its disk. With a foreign disk it can still
     /// become a learner.
     fn refuse(&mut self, reason: &'static str, out: &mut Vec<RaftOutput>) {
@@ -232,18 +261,19 @@
             self.verify_blank(now, out);
             return;
         }
+        if !self.is_voter() {
+            self.role = Role::Learner;
+            return;
+        }
         let others = self.other_voters();
-        let known = others.iter().filter(|v| self.identity.known_by.contains(*v)).count();
         // Only a voter that was leader knows what this disk has acknowledged, so every voter gets
         // time to object.
         let period_over =
             self.identity.first_hello_at.is_some_and(|at| now.since(at) >= OBJECTION_PERIOD);
-        let all_confirmed = known == others.len();
-        if self.is_majority(known) && (all_confirmed || period_over) {
+        let all_confirmed = others.iter().all(|v| self.identity.known_by.contains(v));
+        if self.is_majority(self.identity.known_by.len()) && (all_confirmed || period_over) {
             self.role = Role::Follower;
             self.schedule_first_election(now);
-        } else if !self.is_voter() {
-            self.role = Role::Learner;
         }
     }
 
--- a/crates/hornbeam_control/tests/repairs.rs
+++ b/crates/hornbeam_control/tests/repairs.rs
@@ -5,6 +5,9 @@
 use hornbeam_control::{ProposalOutcome, RepairPolicy};
 use hornbeam_model::TableVersion;
 use hornbeam_testkit::control::ControlCluster;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -144,3 +147,68 @@
     assert_eq!(cluster.decision(old), Some(&ProposalOutcome::TableInForce(TableVersion(9))));
     assert_eq!(committed_version(&cluster), 9);
 }
+
+/// Position of each current voter in the cluster.
+fn voter_positions(cluster: &ControlCluster) -> Vec<usize> {
+    let number = |name: &String| name.strip_prefix("node-").unwrap().parse().unwrap();
+    voters(cluster).iter().map(number).collect()
+}
+
+/// Crashes one voter after the other and starts each again once it was replaced, so that the
+/// standby instances hold logs of all ages.
+fn rotate_voters(cluster: &mut ControlCluster, rng: &mut SmallRng, rounds: u64) {
+    for round in 0..rounds {
+        assert!(cluster.run_until(4 * SECOND, |c| c.leader().is_some()), "round {round}");
+        let voters = voter_positions(cluster);
+        let outgoing = voters[rng.random_range(0..voters.len())];
+        cluster.crash(outgoing);
+        cluster.run_for(Duration::from_millis(rng.random_range(4_500..6_000)));
+        commit_table(cluster, 10 + round);
+        cluster.start(outgoing);
+        cluster.run_for(Duration::from_millis(rng.random_range(200..2_000)));
+    }
+}
+
+/// Standby instances that were voters once hold logs in which a later voter has no vote. After the
+/// tolerated loss of disks and a restart of all instances they must not keep that voter from
+/// voting. Two voters lag behind the last accepted table, so only one that has it can lead.
+#[test]
+fn restart_after_rotation() {
+    for seed in 0..150 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut cluster = start_cluster(seed, 5, 5);
+        rotate_voters(&mut cluster, &mut rng, 2 + seed % 5);
+        cluster.run_for(6 * SECOND);
+        let leader = cluster.leader().expect("a leader");
+        let mut voters = voter_positions(&cluster);
+        voters.retain(|v| *v != leader);
+        voters.shuffle(&mut rng);
+        let lagging = &voters[..2];
+        for i in lagging {
+            cluster.isolate(*i);
+        }
+        commit_table(&mut cluster, 99);
+        let mut order: Vec<usize> = (0..8).collect();
+        for i in &order {
+            cluster.crash(*i);
+        }
+        cluster.heal();
+        // Only one instance with the accepted table keeps its disk, in some cases the leader.
+        let lost = if seed % 2 == 0 { [voters[2], voters[3]] } else { [leader, voters[2]] };
+        for i in lost {
+            cluster.wipe(i);
+        }
+        order.shuffle(&mut rng);
+        for i in order {
+            cluster.start(i);
+            cluster.run_for(Duration::from_millis(rng.random_range(0..100)));
+        }
+        let recovered = cluster.run_until(6 * SECOND, |c| c.leader().is_some());
+        assert!(recovered, "seed {seed}: no leader, {lagging:?} lag, disks of {lost:?} lost");
+        cluster.run_for(SECOND);
+        assert_eq!(committed_version(&cluster), 99, "seed {seed}");
+        commit_table(&mut cluster, 100);
+        cluster.check_logs();
+        assert_eq!(cluster.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
