--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use hornbeam_model::ServerId;
-use hornbeam_route::{Attempt, AttemptOutcome};
+use hornbeam_route::{Attempt, AttemptOutcome, PauseRequest, ServerNotice};
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap};
 use tokio::io::AsyncWriteExt;
@@ -96,13 +96,26 @@
     Some(stream)
 }
 
-/// Sends one attempt on an idle or a new connection and reads its response; returns the response if
-/// it counts for the request.
-pub async fn exchange(
-    core: &Rc<Core>,
-    attempt: &Attempt,
-    request: &ForwardedRequest,
-) -> (AttemptOutcome, Option<RawResponse>) {
+/// The end of an attempt.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Result of the attempt.
+    pub outcome: AttemptOutcome,
+    /// What the server stated about itself in its response.
+    pub notice: ServerNotice,
+    /// The response, if it counts for the request.
+    pub response: Option<RawResponse>,
+}
+
+impl Exchange {
+    /// An attempt without a response that counts.
+    fn without_response(outcome: AttemptOutcome) -> Self {
+        Self { outcome, notice: ServerNotice::default(), response: None }
+    }
+}
+
+/// Sends one attempt on an idle or a new connection and reads its response.
+pub async fn exchange(core: &Rc<Core>, attempt: &Attempt, request: &ForwardedRequest) -> Exchange {
     let started_at = Instant::now();
     let mut reused = core.backends().take(&attempt.server);
     loop {
@@ -114,22 +127,32 @@
                 connect(attempt.address).await
             }
         };
-        let Some(mut stream) = stream else { return (AttemptOutcome::NotSent, None) };
+        let Some(mut stream) = stream else {
+            return Exchange::without_response(AttemptOutcome::NotSent);
+        };
         let remaining = attempt.remaining.saturating_sub(started_at.elapsed());
         if remaining.is_zero() {
-            return (AttemptOutcome::NotSent, None);
+            return Exchange::without_response(AttemptOutcome::NotSent);
+        }
+        // The server may have left or asked for a pause while the connection was being opened.
+        if !core.with_engine(|e| e.may_send(core.clock.now(), attempt.id)) {
+            return Exchange::without_response(AttemptOutcome::Withheld);
         }
         let bytes = encode_request(&core.dialect, attempt, request, remaining);
         match write_request(&mut stream, &bytes).await {
             Ok(()) => {}
             // Nothing was written because the idle connection had ended: uses a new one.
             Err(WriteFailure::NothingWritten) if was_idle => continue,
-            Err(WriteFailure::NothingWritten) => return (AttemptOutcome::NotSent, None),
-            Err(WriteFailure::PossiblyWritten) => return (AttemptOutcome::Lost, None),
+            Err(WriteFailure::NothingWritten) => {
+                return Exchange::without_response(AttemptOutcome::NotSent);
+            }
+            Err(WriteFailure::PossiblyWritten) => {
+                return Exchange::without_response(AttemptOutcome::Lost);
+            }
         }
         return match read_response(&stream).await {
             Ok(response) => handle_response(core, attempt, request, stream, response),
-            Err(_) => (AttemptOutcome::Lost, None),
+            Err(_) => Exchange::without_response(AttemptOutcome::Lost),
         };
     }
 }
@@ -177,22 +200,49 @@
     request: &ForwardedRequest,
     stream: TcpStream,
     response: RawResponse,
-) -> (AttemptOutcome, Option<RawResponse>) {
+) -> Exchange {
     let dialect = &core.dialect;
+    let notice = server_notice(dialect, &response);
     let echoed_id = response.header(&dialect.request_id);
     if echoed_id.is_some_and(|id| id != request.id.as_bytes()) {
         // This is the response to an earlier request on the connection.
-        return (AttemptOutcome::Lost, None);
+        return Exchange { outcome: AttemptOutcome::Lost, notice, response: None };
     }
     let outcome = classify(dialect, &response);
     let reusable = response.reusable
+        && !notice.leaving
         && request.body.len() <= MAX_REUSE_BODY_BYTES
         && outcome != AttemptOutcome::WrongServer;
     if reusable && let Some(idle_timeout) = idle_timeout(&response) {
         core.backends().put(&attempt.server, stream, idle_timeout, attempt.share);
     }
     let counts = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Error);
-    (outcome, counts.then_some(response))
+    Exchange { outcome, notice, response: counts.then_some(response) }
+}
+
+/// Reads what a server states about itself in a response. The response of a server that the
+/// request was not for states nothing about the one that it was for.
+fn server_notice(dialect: &Dialect, response: &RawResponse) -> ServerNotice {
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        return ServerNotice::default();
+    }
+    let leaving = response.header(&dialect.leaving).is_some_and(|v| v.trim_ascii() != b"0");
+    let refuses =
+        matches!(response.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+    let retry_after = response.header(&header::RETRY_AFTER).filter(|_| refuses);
+    ServerNotice { leaving, pause: retry_after.map(parse_pause) }
+}
+
+/// Parses the value of a server's `Retry-After`: seconds, possibly with a fraction.
+fn parse_pause(value: &[u8]) -> PauseRequest {
+    let seconds = std::str::from_utf8(value).ok().and_then(|v| v.trim().parse::<f64>().ok());
+    match seconds {
+        Some(seconds) if seconds.is_finite() && seconds >= 0.0 => {
+            let time = Duration::try_from_secs_f64(seconds);
+            PauseRequest::For(time.unwrap_or(Duration::MAX))
+        }
+        _ => PauseRequest::Unreadable,
+    }
 }
 
 fn classify(dialect: &Dialect, response: &RawResponse) -> AttemptOutcome {
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -12,14 +12,14 @@
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{
-    Attempt, AttemptOutcome, Completion, Decision, Engine, Input, Output, Refusal, merge_records,
+    Attempt, Completion, Decision, Engine, Input, Output, Refusal, merge_records,
 };
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
-use crate::backends::Backends;
+use crate::backends::{Backends, Exchange};
 use crate::dialect::Dialect;
 use crate::group_exchange::GroupExchange;
 use crate::metrics::Metrics;
@@ -209,18 +209,14 @@
     }
 
     /// Passes the outcome of an attempt to the engine and keeps its response, if any.
-    fn on_attempt_finished(
-        self: &Rc<Self>,
-        attempt: AttemptId,
-        outcome: AttemptOutcome,
-        response: Option<RawResponse>,
-    ) {
+    fn on_attempt_finished(self: &Rc<Self>, attempt: AttemptId, exchange: Exchange) {
+        let Exchange { outcome, notice, response } = exchange;
         self.attempts.borrow_mut().remove(&attempt);
         self.metrics.outcomes.with_label_values(&[outcome.label()]).inc();
         if let Some(response) = response {
             self.results.borrow_mut().insert(attempt, AttemptResult::Response(response));
         }
-        self.step(Input::AttemptFinished { attempt, outcome });
+        self.step(Input::AttemptFinished { attempt, outcome, notice });
     }
 
     /// Passes one input to the engine and executes the outputs.
@@ -262,6 +258,7 @@
             Output::Discard(attempt) => {
                 self.results.borrow_mut().remove(&attempt);
             }
+            Output::CloseIdle(server) => self.backends.close(&server),
             Output::Complete { request, completion } => self.complete(request, completion),
             Output::Log(decision) => self.record_decision(&decision),
             Output::Delegate(delegation) => self.delegate(delegation),
@@ -269,8 +266,9 @@
             // Cancellations are collected in `step`.
             Output::CancelGroup(_) => {}
             Output::ProbePeer { peer, address } => self.group_exchange.probe(self, &peer, address),
-            Output::GroupResponses { request, responses, queue_waits, limit, last } => {
+            Output::GroupResponses { request, responses, queue_waits, leaving, limit, last } => {
                 let gathered = self.take_responses(&responses, limit);
+                self.group_exchange.report_leaving(request, leaving);
                 self.send_gathered(request, gathered, &queue_waits, last);
             }
             Output::DeclineGroup(key) => {
@@ -286,8 +284,8 @@
         self.metrics.attempts.with_label_values(&[attempt.kind.label()]).inc();
         let core = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let (outcome, response) = crate::backends::exchange(&core, &attempt, &request).await;
-            core.on_attempt_finished(id, outcome, response);
+            let exchange = crate::backends::exchange(&core, &attempt, &request).await;
+            core.on_attempt_finished(id, exchange);
         });
         self.attempts.borrow_mut().insert(id, task.abort_handle());
     }
@@ -359,6 +357,18 @@
             Decision::CallerGone { .. } => "caller_gone",
             Decision::Ejected { .. } => "ejected",
             Decision::Restored { .. } => "restored",
+            Decision::ServerPaused { .. } => {
+                self.metrics.notices.with_label_values(&["pause"]).inc();
+                "server_paused"
+            }
+            Decision::PauseIgnored { .. } => {
+                self.metrics.notices.with_label_values(&["unreadable"]).inc();
+                "pause_ignored"
+            }
+            Decision::ServerChanged { why: "leaving", .. } => {
+                self.metrics.notices.with_label_values(&["leaving"]).inc();
+                "server_changed"
+            }
             Decision::ServerChanged { .. } => "server_changed",
             Decision::TableInForce { .. } => "table_in_force",
             Decision::Delegated { .. } => "delegated",
--- a/crates/hornbeam_entry/src/dialect.rs
+++ b/crates/hornbeam_entry/src/dialect.rs
@@ -16,6 +16,8 @@
     pub expected_server: HeaderName,
     /// Header by which a server states that it did not execute the request.
     pub not_run: HeaderName,
+    /// Header by which a server states in its responses that it is leaving.
+    pub leaving: HeaderName,
     /// Header with a server's signature of its response.
     pub signature: HeaderName,
     /// Header with the signatures of the shard responses that a merged response includes.
@@ -33,6 +35,7 @@
             deadline_ms: HeaderName::from_static("hornbeam-deadline-ms"),
             expected_server: HeaderName::from_static("hornbeam-expected-server"),
             not_run: HeaderName::from_static("hornbeam-not-run"),
+            leaving: HeaderName::from_static("hornbeam-leaving"),
             signature: HeaderName::from_static("hornbeam-signature"),
             shard_signatures: HeaderName::from_static("hornbeam-part-signatures"),
             missing_shards: HeaderName::from_static("hornbeam-lacking-shards"),
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -15,7 +15,7 @@
 use hornbeam_node::program::next_connection;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::gather::{GatherDown, GatherRequest, GatherUp, GatheredResponses};
-use hornbeam_route::{Delegation, GroupEvent, GroupRequest, Input};
+use hornbeam_route::{Delegation, GroupEvent, GroupRequest, Input, LeavingServer};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::core::{Core, ForwardedRequest, GroupResponses};
@@ -198,6 +198,18 @@
         }
     }
 
+    /// Reports to the origin entry of a gathered group that servers are leaving. The origin passes
+    /// on their responses, so it must not send them requests either.
+    pub fn report_leaving(&self, key: QueryId, servers: Vec<LeavingServer>) {
+        if servers.is_empty() {
+            return;
+        }
+        let gathered = self.gathered.borrow();
+        let Some(g) = gathered.get(&key) else { return };
+        let servers = servers.into_iter().map(|s| (s.server, s.incarnation)).collect();
+        g.origin.send(&GatherDown::ServersLeaving(servers));
+    }
+
     /// Declines a group toward its origin entry; nothing of it was sent.
     pub fn decline(&self, key: QueryId) {
         if let Some(g) = self.gathered.borrow_mut().remove(&key) {
@@ -261,6 +273,10 @@
     core.step(Input::PeerAlive(peer.clone()));
     match message {
         GatherDown::HeartbeatReply => {}
+        GatherDown::ServersLeaving(servers) => {
+            let leaving = |(server, incarnation)| LeavingServer { server, incarnation };
+            core.step(Input::ServersLeaving(servers.into_iter().map(leaving).collect()));
+        }
         GatherDown::Leaving => core.step(Input::PeerLeaving(peer.clone())),
         GatherDown::Begun { group } => {
             if is_delegated(group) {
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -21,6 +21,8 @@
     pub attempts: IntCounterVec,
     /// Attempts that ended, by outcome.
     pub outcomes: IntCounterVec,
+    /// Servers that stated in a response that they are leaving or want a pause, by kind.
+    pub notices: IntCounterVec,
     /// Missing shards of merged responses.
     pub missing_shards: IntCounter,
     /// Connections opened to backend servers, including those that fail to open.
@@ -56,6 +58,11 @@
             refusals: counters("hornbeam_entry_refusals_total", "Requests refused.", "reason"),
             attempts: counters("hornbeam_entry_attempts_total", "Attempts sent.", "kind"),
             outcomes: counters("hornbeam_entry_outcomes_total", "Attempts ended.", "outcome"),
+            notices: counters(
+                "hornbeam_entry_server_notices_total",
+                "Servers that stated that they are leaving or want a pause.",
+                "kind",
+            ),
             missing_shards: counter(
                 "hornbeam_entry_missing_shards_total",
                 "Missing shards of merged responses.",
--- a/crates/hornbeam_protocol/src/gather.rs
+++ b/crates/hornbeam_protocol/src/gather.rs
@@ -1,6 +1,6 @@
 //! Shard groups that one entry (the gathering entry) handles for another (the origin entry).
 
-use hornbeam_model::{InstanceId, Route};
+use hornbeam_model::{Incarnation, InstanceId, Route, ServerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -94,4 +94,6 @@
     /// The sender accepts no more groups; also the reply of such an entry to
     /// [`GatherUp::Heartbeat`].
     Leaving,
+    /// Servers that stated in responses of a group that they are leaving, with their incarnations.
+    ServersLeaving(Vec<(ServerId, Incarnation)>),
 }
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -161,6 +161,11 @@
     Ejected { server: ServerId, service: ServiceId, failures: u32, for_ms: u64 },
     /// An ejected server responded and is used again.
     Restored { server: ServerId, service: ServiceId },
+    /// A server asked for a pause in its refusal; it gets nothing for this time.
+    ServerPaused { request: SmolStr, server: ServerId, service: ServiceId, for_ms: u64 },
+    /// A server asked for a pause of a time that cannot be read; the refusal counts as load
+    /// shedding only.
+    PauseIgnored { request: SmolStr, server: ServerId },
     /// A server became usable, changed or became unusable.
     ServerChanged { server: ServerId, service: ServiceId, usable: bool, why: &'static str },
     /// A routing table is in force.
@@ -178,6 +183,8 @@
                 | Self::Refused { .. }
                 | Self::CallerGone { .. }
                 | Self::Ejected { .. }
+                | Self::ServerPaused { .. }
+                | Self::PauseIgnored { .. }
                 | Self::GroupFailed { .. }
                 | Self::PeerSuspected { .. }
         ) || matches!(self, Self::Answered { missing, .. } | Self::Gathered { missing, .. } if *missing > 0)
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -113,22 +113,23 @@
         }
         let mut in_time = 0;
         let mut shortest_wait = Duration::MAX;
-        let mut shortest_ejection = Duration::MAX;
+        let mut unavailable_for = Vec::new();
         let mut reachable = 0;
         for position in services {
             let service = &self.services[*position];
             if service.servers.is_empty() {
                 continue;
             }
-            if let Some(ejected_for) = self.remaining_ejection(now, *position) {
-                shortest_ejection = shortest_ejection.min(ejected_for);
+            if let Some(time) = self.unavailable_for(now, *position) {
+                unavailable_for.push(time);
                 continue;
             }
             reachable += 1;
             let reported =
                 service.reported_wait.filter(|(_, until)| now < *until).map(|(wait, _)| wait);
-            let wait =
-                self.expected_wait(*position, route.priority).max(reported.unwrap_or_default());
+            let wait = self
+                .expected_wait(now, *position, route.priority)
+                .max(reported.unwrap_or_default());
             if wait <= max_wait(route, service.mean_latency()) {
                 in_time += 1;
             } else {
@@ -136,7 +137,9 @@
             }
         }
         if reachable < min_shards {
-            let wait = (shortest_ejection < Duration::MAX).then_some(shortest_ejection);
+            // The request can run once enough of the services are available again.
+            unavailable_for.sort_unstable();
+            let wait = unavailable_for.get(min_shards - reachable - 1).copied();
             return Some((RefusalKind::NoServer, wait));
         }
         if in_time < min_shards {
@@ -146,18 +149,21 @@
     }
 
     /// Returns the expected wait for capacity at the servers of a service.
-    pub(super) fn expected_wait(&self, service: usize, priority: u8) -> Duration {
+    pub(super) fn expected_wait(&self, now: Mono, service: usize, priority: u8) -> Duration {
         let service = &self.services[service];
-        let places: u32 = service.servers.iter().map(|s| self.servers[*s].limit()).sum();
+        let available =
+            service.servers.iter().map(|s| &self.servers[*s]).filter(|s| !s.is_paused(now));
+        let places: u32 = available.map(|s| s.limit()).sum();
         service.expected_wait(priority, places.min(service.limit()))
     }
 
-    /// Returns the time until the first ejection of a service's servers ends, if all are ejected.
-    fn remaining_ejection(&self, now: Mono, service: usize) -> Option<Duration> {
+    /// Returns the time until the first server of a service is available, if all are ejected or
+    /// paused.
+    fn unavailable_for(&self, now: Mono, service: usize) -> Option<Duration> {
         let servers = self.services[service].servers.iter();
         let mut soonest = Mono::MAX;
         for idx in servers {
-            soonest = soonest.min(self.servers[*idx].ejected_until()?);
+            soonest = soonest.min(self.servers[*idx].unavailable_until(now)?);
         }
         (soonest > now).then(|| soonest.since(now))
     }
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -4,6 +4,7 @@
 
 use super::{AttemptOutcome, Engine, InFlightAttempt, Output};
 use crate::decision::Decision;
+use crate::notice::ServerNotice;
 use crate::request::ShardStatus;
 
 /// Age, in mean latencies of the service, from which an overdue attempt counts as one without a
@@ -16,6 +17,7 @@
         now: Mono,
         attempt: AttemptId,
         outcome: AttemptOutcome,
+        notice: ServerNotice,
         out: &mut Vec<Output>,
     ) {
         let Some(in_flight) = self.attempts.remove(&attempt) else {
@@ -24,6 +26,7 @@
         };
         self.record_attempt_end(in_flight.server, attempt);
         self.record_outcome(now, &in_flight, outcome, out);
+        self.apply_notice(now, &in_flight, notice, out);
         let service = self.servers[in_flight.server].service;
         match in_flight.request {
             Some(key) => self.apply_outcome(now, key, &in_flight, attempt, outcome, out),
@@ -62,6 +65,7 @@
                 let time = self.servers[in_flight.server].eject(now);
                 self.log_ejection(in_flight, time, out);
             }
+            AttemptOutcome::Withheld => {}
             AttemptOutcome::Lost => self.record_no_response(now, in_flight, out),
         }
     }
@@ -151,7 +155,7 @@
         }
         match outcome {
             AttemptOutcome::NotRun | AttemptOutcome::WrongServer => progress.possible_runs -= 1,
-            AttemptOutcome::NotSent => {
+            AttemptOutcome::NotSent | AttemptOutcome::Withheld => {
                 progress.possible_runs -= 1;
                 if progress.deliveries > 1 {
                     self.services[progress.service].retry_budget.refund(now);
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -72,12 +72,14 @@
         if now >= running.answer_by && !(gather.reported && gather.unreported.is_empty()) {
             gather.reported = true;
             let responses = std::mem::take(&mut gather.unreported);
+            let leaving = std::mem::take(&mut gather.leaving);
             let limit = running.limit();
-            let queue_waits = self.queue_waits(key);
+            let queue_waits = self.queue_waits(now, key);
             out.push(Output::GroupResponses {
                 request: key,
                 responses,
                 queue_waits,
+                leaving,
                 limit,
                 last: false,
             });
@@ -86,7 +88,7 @@
 
     /// Ends a group and reports its last responses.
     pub(super) fn end_gathering(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
-        let queue_waits = self.queue_waits(key);
+        let queue_waits = self.queue_waits(now, key);
         let Some(running) = self.remove_request(now, key, out) else { return };
         discard_errors(&running, out);
         let counts = running.shard_counts();
@@ -100,11 +102,12 @@
             sends: running.attempts,
         }));
         let limit = running.limit();
-        let responses = running.gather.map_or_else(Vec::new, |g| g.unreported);
+        let gather = running.gather.unwrap_or_default();
         out.push(Output::GroupResponses {
             request: key,
-            responses,
+            responses: gather.unreported,
             queue_waits,
+            leaving: gather.leaving,
             limit,
             last: true,
         });
@@ -137,13 +140,13 @@
     }
 
     /// Returns the shards of a group whose queue is not empty, and the expected wait.
-    fn queue_waits(&self, key: QueryId) -> Vec<(usize, Duration)> {
+    fn queue_waits(&self, now: Mono, key: QueryId) -> Vec<(usize, Duration)> {
         let Some(running) = self.requests.get(&key) else { return Vec::new() };
         let waits = running
             .shards
             .iter()
             .enumerate()
-            .map(|(i, s)| (i, self.expected_wait(s.service, running.route.priority)));
+            .map(|(i, s)| (i, self.expected_wait(now, s.service, running.route.priority)));
         waits.filter(|(_, wait)| !wait.is_zero()).collect()
     }
 
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -12,6 +12,7 @@
 use super::GroupRequest;
 use crate::budget::RetryBudgetParams;
 use crate::decision::{AttemptKind, Decision};
+use crate::notice::{LeavingServer, ServerNotice};
 use crate::peers::Peer;
 use crate::request::Refusal;
 
@@ -99,11 +100,15 @@
         attempt: AttemptId,
         /// Result of the attempt.
         outcome: AttemptOutcome,
+        /// What the server stated about itself in the response.
+        notice: ServerNotice,
     },
     /// Servers were added, changed or removed.
     Servers(Vec<ServerChange>),
     /// A new routing table is in force.
     Table(Arc<Routing>),
+    /// Other entries learned that servers are leaving.
+    ServersLeaving(Vec<LeavingServer>),
     /// Number of entries that share the retry budget and the connections to servers.
     EntryCount(u32),
     /// Other entries reported unhealthy servers.
@@ -187,6 +192,9 @@
     WrongServer,
     /// Nothing reached the server.
     NotSent,
+    /// The attempt was not sent, because [`Engine::may_send`](super::Engine::may_send) did not
+    /// allow it any more.
+    Withheld,
     /// The response was lost or invalid; the request may have run.
     Lost,
 }
@@ -200,6 +208,7 @@
             Self::NotRun => "not run",
             Self::WrongServer => "wrong server",
             Self::NotSent => "not sent",
+            Self::Withheld => "withheld",
             Self::Lost => "lost",
         }
     }
@@ -251,6 +260,8 @@
     Abort(AttemptId),
     /// Discard the response of an attempt or group.
     Discard(AttemptId),
+    /// Close the idle connections to a server.
+    CloseIdle(ServerId),
     /// Delegate a shard group to another entry.
     Delegate(Delegation),
     /// Confirm to the gathering entry that a group is not reclaimed, so that it may hedge and
@@ -273,6 +284,8 @@
         responses: Vec<(usize, AttemptId)>,
         /// Positions within the group of shards whose queue is not empty, and the expected wait.
         queue_waits: Vec<(usize, Duration)>,
+        /// Servers that are leaving, as they stated in these responses or earlier ones.
+        leaving: Vec<LeavingServer>,
         /// Maximum number of records in the merged response.
         limit: usize,
         /// True if this is the last report of the group.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! - [`admission`]: route matching, admission and refusal on arrival
 //! - [`placement`]: choice of a server for each shard, and the queue for capacity
 //! - [`attempts`]: outcomes of attempts, and retries
+//! - [`notices`]: servers that leave or ask for a pause in their responses
 //! - [`hedging`]: hedged requests for late shards
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
@@ -17,6 +18,7 @@
 mod gathering;
 mod hedging;
 mod messages;
+mod notices;
 mod placement;
 mod servers;
 
@@ -38,6 +40,7 @@
     Output, ServerChange, ServerHealthReport,
 };
 use crate::decision::AttemptKind;
+use crate::notice::LeavingServers;
 use crate::peers::Peers;
 use crate::request::{RefusalKind, RunningRequest};
 use crate::server::Server;
@@ -63,6 +66,8 @@
 enum Timer {
     Request(QueryId),
     Linger(AttemptId),
+    /// A server of the service with this position has finished its pause.
+    PauseEnd(usize),
 }
 
 /// State machine of all requests of one entry.
@@ -79,6 +84,7 @@
     services: IndexMap<ServiceId, Service>,
     servers: Vec<Server>,
     server_names: HashMap<ServerId, usize>,
+    leaving: LeavingServers,
     /// Positions in `servers` that can be reused.
     free_positions: Vec<usize>,
     entries: u32,
@@ -108,6 +114,7 @@
             services: IndexMap::new(),
             servers: Vec::new(),
             server_names: HashMap::new(),
+            leaving: LeavingServers::default(),
             free_positions: Vec::new(),
             entries: ASSUMED_ENTRY_COUNT,
             requests: HashMap::new(),
@@ -130,10 +137,15 @@
                 self.on_request(now, arrival, out);
             }
             Input::CallerGone(key) => self.on_caller_gone(now, key, out),
-            Input::AttemptFinished { attempt, outcome } => {
-                self.on_attempt_finished(now, attempt, outcome, out)
+            Input::AttemptFinished { attempt, outcome, notice } => {
+                self.on_attempt_finished(now, attempt, outcome, notice, out)
             }
             Input::Servers(changes) => self.on_servers(now, changes, out),
+            Input::ServersLeaving(servers) => {
+                for server in servers {
+                    self.on_server_leaving(now, server, out);
+                }
+            }
             Input::Table(table) => self.on_table(table, out),
             Input::EntryCount(entries) => self.on_entry_count(entries),
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
@@ -199,6 +211,7 @@
             match timer {
                 Timer::Request(key) => self.on_wake(now, key, out),
                 Timer::Linger(attempt) => self.abort(now, attempt, out),
+                Timer::PauseEnd(service) => self.dispatch_waiters(now, service, out),
             }
         }
     }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -43,7 +43,7 @@
     Server(usize, f64),
     /// The service or all its servers that are not ejected have no capacity.
     AtCapacity,
-    /// All servers are ejected or excluded, or there are none.
+    /// All servers are ejected, paused or excluded, or there are none.
     Unavailable,
 }
 
@@ -142,7 +142,7 @@
         self.services[service].retry_budget.allows_retry(now, self.entries, rank)
     }
 
-    /// Sends a shard whose servers are all ejected: as a probe that the response does not wait for
+    /// Sends a shard whose servers are all ejected or paused to an ejected one: as a probe that the response does not wait for
     /// if the other shards suffice, and otherwise as an attempt that it needs, even if no probe is
     /// due.
     fn place_on_ejected(
@@ -157,7 +157,8 @@
         let progress = &mut running.shards[shard];
         let (service, attempts) = (progress.service, progress.attempts);
         progress.not_awaited = others_suffice;
-        let servers = self.services[service].servers.clone();
+        let mut servers = self.services[service].servers.clone();
+        servers.retain(|s| !self.servers[*s].is_paused(now));
         let probe = servers.iter().copied().find(|s| self.servers[*s].start_probe_if_due(now));
         let required = || {
             let open = servers.iter().copied().filter(|s| self.servers[*s].has_capacity());
@@ -199,7 +200,10 @@
         let mut full = false;
         for idx in &self.services[service].servers {
             let server = &mut self.servers[*idx];
-            if exclude.contains(idx) || (server.is_ejected() && !server.start_probe_if_due(now)) {
+            if exclude.contains(idx)
+                || server.is_paused(now)
+                || (server.is_ejected() && !server.start_probe_if_due(now))
+            {
                 continue;
             }
             if !server.has_capacity() {
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -44,6 +44,9 @@
         else {
             return;
         };
+        if self.leaving.includes(&server, incarnation) {
+            return;
+        }
         let known = self.server_names.get(&server).map(|i| &self.servers[*i]);
         if known.is_some_and(|s| s.incarnation != incarnation || s.address != address) {
             // Measurements of an earlier incarnation do not apply to this one.
@@ -85,7 +88,12 @@
         idx
     }
 
-    fn remove_server(&mut self, server: &ServerId, reason: &'static str, out: &mut Vec<Output>) {
+    pub(super) fn remove_server(
+        &mut self,
+        server: &ServerId,
+        reason: &'static str,
+        out: &mut Vec<Output>,
+    ) {
         let Some(idx) = self.server_names.remove(server) else { return };
         let s = &mut self.servers[idx];
         s.usable = false;
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`request`]: state of one running request
 //! - [`split`]: weighted distribution of requests over services
 //! - [`merge`]: merges the records of shard responses into one ranking
+//! - [`notice`]: servers that leave or ask for a pause
 //! - [`decision`]: decisions and their reasons, for the log
 //! - [`peers`]: other entries, and the choice of gathering entries for shard groups
 //! - [`engine`]: state machine of all requests of one entry, `step(now, input) -> outputs`
@@ -17,6 +18,7 @@
 pub mod decision;
 pub mod engine;
 pub mod merge;
+pub mod notice;
 pub mod peers;
 pub mod request;
 pub mod server;
@@ -30,5 +32,6 @@
     GroupRequest, Input, Output, ServerChange, ServerHealthReport, group_size,
 };
 pub use merge::merge_records;
+pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, ServerNotice};
 pub use peers::{Peer, Peers};
 pub use request::{Refusal, RefusalKind};
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::notice::LeavingServer;
+
 /// Reserve for the network round trip between the caller and this entry.
 const ROUND_TRIP_RESERVE: Duration = Duration::from_millis(6);
 /// Divisor of the objective that gives the reserve kept in addition to the round trips.
@@ -151,6 +153,9 @@
     /// False until the origin has confirmed that it does not reclaim the group. Until then each
     /// shard is sent to one server only, since the origin may reclaim it and send it to another.
     pub confirmed: bool,
+    /// Servers that stated in their responses to this group that they are leaving, and that are
+    /// not reported to the origin yet.
+    pub leaving: Vec<LeavingServer>,
 }
 
 /// Number of shards of a request by status.
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -90,6 +90,8 @@
     consecutive_failures: u32,
     ejected_until: Option<Mono>,
     probed_at: Mono,
+    /// End of the pause that the server asked for; in the past if there is none.
+    paused_until: Mono,
 }
 
 impl Server {
@@ -116,6 +118,7 @@
             consecutive_failures: 0,
             ejected_until: None,
             probed_at: Mono::default(),
+            paused_until: Mono::default(),
         }
     }
 
@@ -150,6 +153,27 @@
         self.ejected_until
     }
 
+    /// Sends nothing to the server until this time. Afterwards its concurrency limit grows from one
+    /// again, so that the entries do not send it everything that has queued meanwhile.
+    pub fn pause(&mut self, until: Mono) {
+        self.paused_until = self.paused_until.max(until);
+        self.limit = 1.0;
+    }
+
+    /// Returns true during a pause that the server asked for.
+    pub fn is_paused(&self, now: Mono) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns the end of the pause or ejection, whichever is later, or `None` if the server has
+    /// neither. An ejected server may be probed from that time on.
+    pub fn unavailable_until(&self, now: Mono) -> Option<Mono> {
+        if self.is_paused(now) {
+            return Some(self.paused_until.max(self.ejected_until.unwrap_or_default()));
+        }
+        self.ejected_until
+    }
+
     /// Returns true if a probe of the ejected server is due. Counts the probe as started and
     /// extends the ejection, so that no other request probes it meanwhile.
     pub fn start_probe_if_due(&mut self, now: Mono) -> bool {
--- /dev/null
+++ b/crates/hornbeam_route/tests/common/harness.rs
@@ -0,0 +1,149 @@
+//! One engine with one route and two servers, driven step by step.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_model::{
+    AttemptId, Incarnation, Mono, QueryId, Route, RoutedService, Routing, TableVersion,
+};
+use hornbeam_route::{
+    AttemptOutcome, Completion, Engine, EngineParams, Input, Output, RefusalKind,
+    RetryBudgetParams, ServerChange, ServerNotice,
+};
+
+use super::service;
+
+/// Time of the first step.
+pub const T: Mono = Mono::from_millis(60_000);
+/// One millisecond.
+pub const MS: Duration = Duration::from_millis(1);
+
+/// An engine with one route and two servers, each of which accepts one attempt at a time.
+pub struct Harness {
+    pub engine: Engine,
+    pub out: Vec<Output>,
+}
+
+impl Harness {
+    /// `allowance` is the retry budget of eight entries together.
+    pub fn new(route: Route, allowance: u32) -> Self {
+        let budget = RetryBudgetParams { percent: 0, window: Duration::from_secs(10), allowance };
+        let mut harness = Self {
+            engine: Engine::new(EngineParams {
+                zone: "olomouc".parse().unwrap(),
+                budget,
+                delegate_above: 32,
+                max_in_flight: 100,
+                linger: 300 * MS,
+                seed: 1,
+            }),
+            out: Vec::new(),
+        };
+        let table = Routing {
+            version: TableVersion(1),
+            routes: vec![Arc::new(route)],
+            services: [(service("tablet"), RoutedService { max_connections: 8 })].into(),
+            ..Routing::default()
+        };
+        harness.step(T, Input::Table(Arc::new(table)));
+        // With eight entries, each may have one attempt in flight at a server.
+        harness.step(T, Input::EntryCount(8));
+        for n in 0..2 {
+            harness.step(T, Input::Servers(vec![usable(n, 1)]));
+        }
+        harness.out.clear();
+        harness
+    }
+
+    /// Passes one input to the engine.
+    pub fn step(&mut self, now: Mono, input: Input) {
+        self.engine.step(now, input, &mut self.out);
+    }
+
+    /// Sends a request; returns its first attempt if there is one.
+    pub fn request(&mut self, now: Mono, key: u64) -> Option<AttemptId> {
+        self.send_request(now, key);
+        self.take_attempt()
+    }
+
+    /// Sends a request and keeps the outputs.
+    pub fn send_request(&mut self, now: Mono, key: u64) {
+        self.step(
+            now,
+            Input::Request {
+                key: QueryId(key),
+                id: format!("r{key}").into(),
+                host: "plots.example".into(),
+                path: "/lookup/1".into(),
+                patience: None,
+                opened_connection: false,
+            },
+        );
+    }
+
+    /// Clears the outputs except completions; returns the attempt sent last, if there is one.
+    pub fn take_attempt(&mut self) -> Option<AttemptId> {
+        let out = std::mem::take(&mut self.out);
+        let mut sent = None;
+        for output in out {
+            match output {
+                Output::SendAttempt(attempt) => sent = Some(attempt.id),
+                Output::Complete { .. } => self.out.push(output),
+                _ => {}
+            }
+        }
+        sent
+    }
+
+    /// How the request completed since the last step, if it did.
+    pub fn completion(&self) -> Option<&Completion> {
+        self.out.iter().find_map(|o| match o {
+            Output::Complete { completion, .. } => Some(completion),
+            _ => None,
+        })
+    }
+
+    /// Ends an attempt; returns the attempt sent as a consequence, if there is one.
+    pub fn finish_attempt(
+        &mut self,
+        now: Mono,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+    ) -> Option<AttemptId> {
+        self.finish_with_notice(now, attempt, outcome, ServerNotice::default())
+    }
+
+    /// Ends an attempt with a response in which the server states something about itself.
+    pub fn finish_with_notice(
+        &mut self,
+        now: Mono,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        notice: ServerNotice,
+    ) -> Option<AttemptId> {
+        self.out.clear();
+        self.step(now, Input::AttemptFinished { attempt, outcome, notice });
+        self.take_attempt()
+    }
+}
+
+/// The server `s{n}` of the service of the route, ready in this start.
+pub fn usable(n: u64, start: u64) -> ServerChange {
+    ServerChange::Usable {
+        server: format!("s{n}").parse().unwrap(),
+        incarnation: Incarnation(start),
+        service: service("tablet"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "olomouc".parse().unwrap(),
+        slots: 2,
+        warm_up: Duration::ZERO,
+    }
+}
+
+/// The reason of a refusal, if the completion is one.
+pub fn refusal(completion: Option<&Completion>) -> Option<RefusalKind> {
+    match completion {
+        Some(Completion::Refuse(refusal)) => Some(refusal.kind),
+        _ => None,
+    }
+}
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports)]
 
+pub mod harness;
 mod sites;
 
 use std::cmp::Reverse;
@@ -15,7 +16,8 @@
 };
 use hornbeam_route::{
     AttemptOutcome, Completion, Decision, Delegation, Engine, EngineParams, GroupEvent,
-    GroupRequest, Input, Output, Peer, RetryBudgetParams, ServerChange,
+    GroupRequest, Input, LeavingServer, Output, PauseRequest, Peer, RetryBudgetParams,
+    ServerChange, ServerNotice,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -40,6 +42,8 @@
     Error(f64),
     /// Refuses connections.
     Refused,
+    /// Sheds every request and asks for a pause.
+    Pause(Duration),
 }
 
 /// A simulated server.
@@ -47,6 +51,8 @@
     pub name: ServerId,
     pub slots: usize,
     pub fault: Fault,
+    /// True once it states in its responses that it is leaving.
+    pub leaving: bool,
     /// Interval between the starts of two pauses, and the length of a pause.
     pub pauses: Option<(Duration, Duration)>,
     phase: Duration,
@@ -68,8 +74,8 @@
     EntryRequest(usize, usize),
     AttemptArrival(usize, AttemptKey, QueryId),
     WorkDone(usize, AttemptKey),
-    /// An attempt ends; the number is a position in the list of outcomes.
-    AttemptFinished(AttemptKey, u8),
+    /// An attempt at a server ends; the number is a position in the list of outcomes.
+    AttemptFinished(AttemptKey, usize, u8),
     Wake(usize),
     /// The message with this number arrives at an entry.
     PeerMessage(usize, u64),
@@ -82,6 +88,7 @@
     Cancel(usize, AttemptId),
     Confirm(usize, AttemptId),
     GroupEvent(AttemptId, GroupEvent),
+    ServersLeaving(Vec<LeavingServer>),
     Alive(usize),
     Leaving(usize),
     Probe(usize),
@@ -286,6 +293,7 @@
             name: name.clone(),
             slots: 2,
             fault: Fault::None,
+            leaving: false,
             pauses: None,
             phase,
             speed,
@@ -332,6 +340,24 @@
         }
     }
 
+    /// Makes every server of a service shed all requests and ask for a pause.
+    pub fn set_shed_pause(&mut self, service: &str, time: Duration) {
+        self.set_fault(service, Fault::Pause(time));
+    }
+
+    /// Makes a server state in its responses that it is leaving.
+    pub fn set_leaving(&mut self, server: &str) {
+        let name: ServerId = server.parse().unwrap();
+        self.servers[self.by_name[&name]].leaving = true;
+    }
+
+    /// Number of requests that arrived at the servers of a service.
+    pub fn arrivals(&self, service: &str) -> u64 {
+        let prefix = format!("{service}-");
+        let of_service = self.servers.iter().filter(|s| s.name.as_str().starts_with(&prefix));
+        of_service.map(|s| s.arrivals).sum()
+    }
+
     /// Sets the fault of one server.
     pub fn set_server_fault(&mut self, server: &str, fault: Fault) {
         let name: ServerId = server.parse().unwrap();
@@ -389,7 +415,7 @@
             Event::EntryRequest(_, entry) | Event::Wake(entry) | Event::PeerMessage(entry, _) => {
                 Some(entry)
             }
-            Event::AttemptFinished((entry, _), _) => Some(entry),
+            Event::AttemptFinished((entry, _), _, _) => Some(entry),
             Event::Request(_) | Event::AttemptArrival(..) | Event::WorkDone(..) => None,
         }
     }
@@ -417,7 +443,8 @@
             }
             Event::AttemptArrival(server, attempt, key) => self.on_arrival(server, attempt, key),
             Event::WorkDone(server, attempt) => self.on_work_done(server, attempt),
-            Event::AttemptFinished((entry, attempt), outcome) => {
+            Event::AttemptFinished((entry, attempt), server, outcome) => {
+                let notice = self.servers[server].notice(outcome);
                 let outcome = [
                     AttemptOutcome::Answered,
                     AttemptOutcome::Error,
@@ -426,7 +453,7 @@
                     AttemptOutcome::Lost,
                 ][outcome as usize];
                 if !self.aborted.remove(&(entry, attempt)) {
-                    self.step(entry, Input::AttemptFinished { attempt, outcome });
+                    self.step(entry, Input::AttemptFinished { attempt, outcome, notice });
                 }
             }
             Event::Wake(entry) => {
@@ -464,6 +491,9 @@
             PeerMessage::GroupEvent(group, event) => {
                 self.step(entry, Input::GroupEvent { group, event })
             }
+            PeerMessage::ServersLeaving(servers) => {
+                self.step(entry, Input::ServersLeaving(servers));
+            }
             PeerMessage::Alive(from) => self.step(entry, Input::PeerAlive(entry_name(from))),
             PeerMessage::Leaving(from) => self.step(entry, Input::PeerLeaving(entry_name(from))),
             PeerMessage::Probe(from) if self.entry_faults[entry] == EntryFault::Leaving => {
@@ -603,8 +633,11 @@
             }
             Output::GroupResponses { .. }
                 if self.entry_faults[entry] == EntryFault::ReportsLost => {}
-            Output::GroupResponses { request, responses, queue_waits, last, .. } => {
+            Output::GroupResponses { request, responses, queue_waits, leaving, last, .. } => {
                 let Some((to, group)) = self.gathers.get(&request).copied() else { return };
+                if !leaving.is_empty() {
+                    self.send_message(to, entry, PeerMessage::ServersLeaving(leaving));
+                }
                 if last {
                     self.gathers.remove(&request);
                     self.running.remove(&request);
@@ -635,7 +668,7 @@
                     }
                 }
             }
-            Output::Discard(_) => {}
+            Output::CloseIdle(_) | Output::Discard(_) => {}
             Output::Complete { request, completion } => {
                 let (route, at) = self.running.remove(&request).expect("a request completes once");
                 let responses = match &completion {
@@ -672,17 +705,22 @@
         let reply = self.now + ONE_WAY_LATENCY;
         match s.fault {
             Fault::Unresponsive => return,
-            Fault::Refused => return self.schedule(reply, Event::AttemptFinished(attempt, 3)),
+            Fault::Refused => {
+                return self.schedule(reply, Event::AttemptFinished(attempt, server, 3));
+            }
+            Fault::Pause(_) => {
+                return self.schedule(reply, Event::AttemptFinished(attempt, server, 2));
+            }
             Fault::Shed(share) if draw < share => {
-                return self.schedule(reply, Event::AttemptFinished(attempt, 2));
+                return self.schedule(reply, Event::AttemptFinished(attempt, server, 2));
             }
             Fault::Error(share) if draw < share => {
-                return self.schedule(reply, Event::AttemptFinished(attempt, 1));
+                return self.schedule(reply, Event::AttemptFinished(attempt, server, 1));
             }
             _ => {}
         }
         if s.running.len() >= s.slots && s.queue.len() >= s.queue_limit {
-            return self.schedule(reply, Event::AttemptFinished(attempt, 2));
+            return self.schedule(reply, Event::AttemptFinished(attempt, server, 2));
         }
         s.queue.push_back((attempt, work));
         let service = s.name.as_str().rsplit_once('-').map_or("", |(service, _)| service);
@@ -710,7 +748,7 @@
             return;
         }
         self.servers[server].running.retain(|a| *a != attempt);
-        self.schedule(self.now + ONE_WAY_LATENCY, Event::AttemptFinished(attempt, 0));
+        self.schedule(self.now + ONE_WAY_LATENCY, Event::AttemptFinished(attempt, server, 0));
         self.start_work(server);
     }
 
@@ -741,6 +779,16 @@
 }
 
 impl SimServer {
+    /// What the server states about itself in a response with this outcome.
+    fn notice(&self, outcome: u8) -> ServerNotice {
+        let responds = outcome < 3;
+        let pause = match self.fault {
+            Fault::Pause(time) if outcome == 2 => Some(PauseRequest::For(time)),
+            _ => None,
+        };
+        ServerNotice { leaving: self.leaving && responds, pause }
+    }
+
     /// End of work that starts now, including the pauses in between.
     fn work_end(&self, now: Mono, work: Duration) -> Mono {
         let Some((every, length)) = self.pauses else { return now + work };
--- a/crates/hornbeam_route/tests/retries.rs
+++ b/crates/hornbeam_route/tests/retries.rs
@@ -2,132 +2,15 @@
 
 mod common;
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use common::{service, single};
-use hornbeam_model::{
-    AttemptId, Incarnation, Mono, QueryId, Route, RoutedService, Routing, TableVersion,
-};
-use hornbeam_route::{
-    AttemptOutcome, Completion, Engine, EngineParams, Input, Output, RefusalKind,
-    RetryBudgetParams, ServerChange,
-};
-
-const T: Mono = Mono::from_millis(60_000);
-const MS: Duration = Duration::from_millis(1);
-
-/// An engine with one route and two servers, each of which accepts one attempt at a time.
-struct Harness {
-    engine: Engine,
-    out: Vec<Output>,
-}
-
-impl Harness {
-    fn new(route: Route, allowance: u32) -> Self {
-        let budget = RetryBudgetParams { percent: 0, window: Duration::from_secs(10), allowance };
-        let mut harness = Self {
-            engine: Engine::new(EngineParams {
-                zone: "olomouc".parse().unwrap(),
-                budget,
-                delegate_above: 32,
-                max_in_flight: 100,
-                linger: 300 * MS,
-                seed: 1,
-            }),
-            out: Vec::new(),
-        };
-        let table = Routing {
-            version: TableVersion(1),
-            routes: vec![Arc::new(route)],
-            services: [(service("tablet"), RoutedService { max_connections: 8 })].into(),
-            ..Routing::default()
-        };
-        harness.step(T, Input::Table(Arc::new(table)));
-        // With eight entries, each may have one attempt in flight at a server.
-        harness.step(T, Input::EntryCount(8));
-        for n in 0..2 {
-            harness.step(T, Input::Servers(vec![usable(n)]));
-        }
-        harness.out.clear();
-        harness
-    }
-
-    fn step(&mut self, now: Mono, input: Input) {
-        self.engine.step(now, input, &mut self.out);
-    }
-
-    fn request(&mut self, now: Mono, key: u64) -> Option<AttemptId> {
-        self.step(
-            now,
-            Input::Request {
-                key: QueryId(key),
-                id: format!("r{key}").into(),
-                host: "plots.example".into(),
-                path: "/lookup/1".into(),
-                patience: None,
-                opened_connection: false,
-            },
-        );
-        self.take_attempt()
-    }
-
-    /// Clears the outputs except completions; returns the attempt sent last, if there is one.
-    fn take_attempt(&mut self) -> Option<AttemptId> {
-        let out = std::mem::take(&mut self.out);
-        let mut sent = None;
-        for output in out {
-            match output {
-                Output::SendAttempt(attempt) => sent = Some(attempt.id),
-                Output::Complete { .. } => self.out.push(output),
-                _ => {}
-            }
-        }
-        sent
-    }
-
-    fn completion(&self) -> Option<&Completion> {
-        self.out.iter().find_map(|o| match o {
-            Output::Complete { completion, .. } => Some(completion),
-            _ => None,
-        })
-    }
-
-    fn finish_attempt(
-        &mut self,
-        now: Mono,
-        attempt: AttemptId,
-        outcome: AttemptOutcome,
-    ) -> Option<AttemptId> {
-        self.out.clear();
-        self.step(now, Input::AttemptFinished { attempt, outcome });
-        self.take_attempt()
-    }
-}
-
-fn usable(n: u64) -> ServerChange {
-    ServerChange::Usable {
-        server: format!("s{n}").parse().unwrap(),
-        incarnation: Incarnation(1),
-        service: service("tablet"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        zone: "olomouc".parse().unwrap(),
-        slots: 2,
-        warm_up: Duration::ZERO,
-    }
-}
+use common::harness::{Harness, MS, T, refusal};
+use common::single;
+use hornbeam_model::{QueryId, Route};
+use hornbeam_route::{AttemptOutcome, Completion, Input, Output, RefusalKind};
 
 fn lookup() -> Route {
     single("lookup", "tablet", 250)
 }
 
-fn refusal(completion: Option<&Completion>) -> Option<RefusalKind> {
-    match completion {
-        Some(Completion::Refuse(refusal)) => Some(refusal.kind),
-        _ => None,
-    }
-}
-
 #[test]
 fn queued_retry_checks_budget() {
     let mut harness = Harness::new(lookup(), 0);
--- a/crates/hornbeam_soak/src/ledger.rs
+++ b/crates/hornbeam_soak/src/ledger.rs
@@ -11,6 +11,31 @@
 /// drains.
 pub const DRAIN_TIME: Duration = Duration::from_secs(3);
 
+/// Time after a notice of a server from which it is in effect; earlier requests may have been under
+/// way.
+const NOTICE_SLACK: Duration = Duration::from_millis(500);
+/// Requests that may reach a server during a pause that it asked for.
+const MAX_ARRIVALS_IN_PAUSE: usize = 2;
+
+/// What a server stated to an entry in a response.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Notice {
+    /// It wants no requests for this many milliseconds.
+    Pause(u64),
+    /// It is leaving.
+    Leaving,
+}
+
+/// A notice of one server to one entry, and the requests of that entry that arrived against it.
+#[derive(Clone, Debug)]
+struct StatedNotice {
+    entry: String,
+    server: String,
+    notice: Notice,
+    at: Instant,
+    arrivals: usize,
+}
+
 /// Request that has ended, as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct CompletedRequest {
@@ -39,6 +64,7 @@
     /// Highest acknowledged table version, and the time of its acknowledgment.
     acknowledged: (u64, Option<Instant>),
     sent: HashSet<String>,
+    notices: Vec<StatedNotice>,
 }
 
 /// Thread-safe record of all observations of a run; clones share it.
@@ -88,6 +114,36 @@
         runs.push((service.to_owned(), server.to_owned()));
     }
 
+    /// Records what a server stated in the response to a request of a caller to one service.
+    pub fn record_notice(&self, request: &str, server: &str, notice: Notice) {
+        let (entry, server) = (entry_of(request).to_owned(), server.to_owned());
+        let stated = StatedNotice { entry, server, notice, at: Instant::now(), arrivals: 0 };
+        self.lock().notices.push(stated);
+    }
+
+    /// Records that a request of a caller to one service arrived at a server, and counts it
+    /// against the notices of that server to the entry that the caller asked.
+    pub fn record_arrival(&self, request: &str, server: &str) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        for stated in &mut inner.notices {
+            let since = now.duration_since(stated.at);
+            let is_against = match stated.notice {
+                Notice::Pause(ms) => since > NOTICE_SLACK && since < Duration::from_millis(ms),
+                Notice::Leaving => since > DRAIN_TIME,
+            };
+            if stated.server == server && stated.entry == entry_of(request) && is_against {
+                stated.arrivals += 1;
+            }
+        }
+    }
+
+    /// Records that the memory of an entry ended: it was restarted.
+    pub fn record_restart(&self, entry: usize) {
+        let entry = format!("c{entry}");
+        self.lock().notices.retain(|n| n.entry != entry);
+    }
+
     /// Records that a controller acknowledged that a server drains.
     pub fn record_leaving(&self, server: &str) {
         self.lock().leaving.entry(server.to_owned()).or_insert_with(Instant::now);
@@ -149,6 +205,18 @@
     pub fn violations(&self, max_attempts: usize, timeout: Duration) -> Vec<String> {
         let inner = self.lock();
         let mut violations = inner.violations.clone();
+        for stated in &inner.notices {
+            let allowed = match stated.notice {
+                Notice::Pause(_) => MAX_ARRIVALS_IN_PAUSE,
+                Notice::Leaving => 0,
+            };
+            if stated.arrivals > allowed {
+                violations.push(format!(
+                    "{} got {} requests of the entry of {} against its notice {:?}",
+                    stated.server, stated.arrivals, stated.entry, stated.notice
+                ));
+            }
+        }
         for ended in &inner.completed {
             let runs = inner.runs.get(&ended.id).map_or(&[][..], Vec::as_slice);
             let (id, status) = (&ended.id, ended.status);
@@ -176,6 +244,11 @@
     }
 }
 
+/// Returns the part of a request id that names the entry to which its caller sent it.
+fn entry_of(request: &str) -> &str {
+    request.split('y').next().unwrap_or_default()
+}
+
 impl Inner {
     /// Returns whether no fault began or ended from [`FAULT_DETECTION_TIME`] before `from` until `to`.
     fn is_fault_free(&self, from: Instant, to: Instant) -> bool {
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::{Caller, HOST, LIMIT, http, put_table};
 use crate::fleet::{Fleet, ProgramKind, ZONES};
-use crate::ledger::{CompletedRequest, FAULT_DETECTION_TIME, Ledger};
+use crate::ledger::{CompletedRequest, FAULT_DETECTION_TIME, Ledger, Notice};
 use crate::plan::{Fault, Sizes, draw_faults};
 use crate::proxy::LinkState;
 use hornbeam_standin::routed::{self, RoutedFault, RoutedParams, Running, ServerEvent};
@@ -166,6 +166,7 @@
         self.next_server += 1;
         let valid = "a valid name";
         let ledger = self.ledger.clone();
+        let is_shard = service.starts_with("shard");
         let params = RoutedParams {
             name: format!("{service}-{n}").parse().expect(valid),
             service: service.parse().expect(valid),
@@ -178,6 +179,17 @@
                     ledger.record_run(request, service, server);
                 }
                 ServerEvent::DepartureAcknowledged { server } => ledger.record_leaving(server),
+                // Other entries may gather the shards of a search.
+                _ if is_shard => {}
+                ServerEvent::RequestArrived { request, server } => {
+                    ledger.record_arrival(request, server);
+                }
+                ServerEvent::PauseRequested { request, server } => {
+                    ledger.record_notice(request, server, Notice::Pause(routed::PAUSE_MS));
+                }
+                ServerEvent::LeavingStated { request, server } => {
+                    ledger.record_notice(request, server, Notice::Leaving);
+                }
             }),
         };
         let started = routed::start(params).await;
@@ -417,6 +429,10 @@
     }
     start_program(run, i);
     run.ledger.record_fault();
+    let entries = run.fleet.of_kind(ProgramKind::Entry);
+    if let Some(entry) = entries.iter().position(|e| *e == i) {
+        run.ledger.record_restart(entry);
+    }
 }
 
 fn start_program(run: &mut FleetRun, i: usize) {
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -25,6 +25,27 @@
         /// Name of the stand-in.
         server: &'a str,
     },
+    /// The stand-in has refused a request and asked for a pause.
+    PauseRequested {
+        /// Id of the request.
+        request: &'a str,
+        /// Name of the stand-in.
+        server: &'a str,
+    },
+    /// The stand-in has stated in a response that it is leaving.
+    LeavingStated {
+        /// Id of the request.
+        request: &'a str,
+        /// Name of the stand-in.
+        server: &'a str,
+    },
+    /// A request has arrived that names this stand-in.
+    RequestArrived {
+        /// Id of the request.
+        request: &'a str,
+        /// Name of the stand-in.
+        server: &'a str,
+    },
     /// A controller has acknowledged a claim that the stand-in is draining.
     DepartureAcknowledged {
         /// Name of the stand-in.
@@ -62,6 +83,8 @@
 pub const SLOTS: u32 = 2;
 /// Requests that run or wait at the same time; more are refused as not run.
 const MAX_PENDING: usize = 12;
+/// Pause that a stand-in with [`RoutedFault::Pause`] asks for, in milliseconds.
+pub const PAUSE_MS: u64 = 1_200;
 /// Records in each response.
 const RECORDS_PER_RESPONSE: u8 = 6;
 
@@ -77,6 +100,8 @@
     Slow,
     /// Refuses requests as not run.
     Shed,
+    /// Refuses requests as not run and asks for a pause of [`PAUSE_MS`].
+    Pause,
     /// Closes the connection 7 bytes before the end of the response.
     Truncate,
     /// Sends each response twice.
@@ -88,10 +113,11 @@
 }
 
 /// Every fault except [`RoutedFault::None`].
-pub const ROUTED_FAULTS: [RoutedFault; 7] = [
+pub const ROUTED_FAULTS: [RoutedFault; 8] = [
     RoutedFault::Unresponsive,
     RoutedFault::Slow,
     RoutedFault::Shed,
+    RoutedFault::Pause,
     RoutedFault::Truncate,
     RoutedFault::ExtraResponse,
     RoutedFault::Reset,
@@ -248,24 +274,40 @@
             let head = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
+        let (service, server) = (self.params.service.as_str(), self.params.name.as_str());
+        (self.params.on_event)(ServerEvent::RequestArrived { request: id, server });
         let pending = self.pending.fetch_add(1, Ordering::Relaxed);
-        if self.has_fault(RoutedFault::Shed) || pending as usize >= MAX_PENDING {
+        let asks_pause = self.has_fault(RoutedFault::Pause);
+        if asks_pause || self.has_fault(RoutedFault::Shed) || pending as usize >= MAX_PENDING {
             self.pending.fetch_sub(1, Ordering::Relaxed);
-            let head = "HTTP/1.1 503 Service Unavailable\r\nhornbeam-not-run: 1\r\n\
-                        content-length: 0\r\n\r\n";
+            let pause = if asks_pause {
+                (self.params.on_event)(ServerEvent::PauseRequested { request: id, server });
+                format!("retry-after: {}\r\n", PAUSE_MS as f64 / 1e3)
+            } else {
+                String::new()
+            };
+            let head = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nhornbeam-not-run: 1\r\n{pause}\
+                 content-length: 0\r\n\r\n"
+            );
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
         let Ok(slot) = self.slots.acquire().await else { return false };
-        let (service, server) = (self.params.service.as_str(), self.params.name.as_str());
         (self.params.on_event)(ServerEvent::RequestStarted { request: id, service, server });
         let slow = if self.has_fault(RoutedFault::Slow) { 12 } else { 1 };
         tokio::time::sleep(self.params.work * slow).await;
         drop(slot);
         self.pending.fetch_sub(1, Ordering::Relaxed);
         let body = records(service, id);
+        let leaving = if self.draining.load(Ordering::Relaxed) {
+            (self.params.on_event)(ServerEvent::LeavingStated { request: id, server });
+            "hornbeam-leaving: 1\r\n"
+        } else {
+            ""
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nhornbeam-request-id: {id}\r\nhornbeam-signature: {id}.{}\r\n\
-             content-length: {}\r\n\r\n",
+             {leaving}content-length: {}\r\n\r\n",
             service,
             body.len()
         );
--- a/crates/hornbeamctl/src/explain.rs
+++ b/crates/hornbeamctl/src/explain.rs
@@ -14,7 +14,7 @@
 const BELIEF_KINDS: [&str; 6] =
     ["cut_off", "feed_lost", "feed_open", "suspended", "settings_reloaded", "controller_heard"];
 /// Kinds of `decision` lines that change an entry's state; shown like [`BELIEF_KINDS`].
-const STATE_DECISIONS: [&str; 3] = ["table_in_force", "ejected", "server_changed"];
+const STATE_DECISIONS: [&str; 4] = ["table_in_force", "ejected", "server_changed", "server_paused"];
 
 /// The outcome of a request and its cause.
 #[derive(Debug, Default)]
