Zones that fall silent together; requests before the first table wait for it

Each entry learns that from two lost attempts to each server of it, and an entry within the zone counts as isolated only 2.1 s later; 200 requests in its zone are refused meanwhile. After a restart of all processes the entries try the controllers again 200 ms later, and refuse 161 requests for want of a table; most of these are the last retry that their callers have.

Change: the servers of a zone that are silent since the same moment, four at least, make the zone unreachable: it gets a probe each 100 ms and no other attempt until one of its servers responds (route::zones). Isolation counts these servers and goes by feeds that are half a heartbeat late instead of three. Requests wait for the first table for a quarter of their patience (engine::startup). A lost feed is reopened after 20 ms, then doubling to 320 ms. An isolated entry tells callers to come back at once, since its connections close and other entries can serve them.

--- a/crates/hornbeam_discovery/src/directory.rs
+++ b/crates/hornbeam_discovery/src/directory.rs
@@ -13,6 +13,7 @@
 };
 use indexmap::IndexMap;
 
+use crate::isolation::FeedCounts;
 use crate::registry::DEPARTURE_TTL;
 
 /// Time for which the claims of a lost feed are kept while others are fresh: within it, its servers
@@ -20,6 +21,9 @@
 const LOST_FEED_TTL: Duration = Duration::from_secs(6);
 /// Time since the last message up to which a feed counts as fresh.
 pub const MAX_FEED_AGE: Duration = Duration::from_millis(3 * FEED_HEARTBEAT_INTERVAL_MS);
+/// Time since the last message up to which a feed counts as prompt: its next heartbeat is at most
+/// half an interval late.
+pub const MAX_PROMPT_AGE: Duration = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS * 3 / 2);
 
 /// A change to the set of usable servers.
 #[derive(Clone, Debug, PartialEq)]
@@ -124,7 +128,7 @@
     /// and feeds that were lost long ago.
     pub fn expire(&mut self, now: Mono) -> Vec<ServerUpdate> {
         self.departures.retain(|_, (_, at)| now.since(*at) < DEPARTURE_TTL);
-        if self.fresh_feeds(now) == 0 {
+        if self.feed_counts(now, 0).fresh == 0 {
             return Vec::new();
         }
         let mut touched = Vec::new();
@@ -145,9 +149,10 @@
         self.refresh(now, touched)
     }
 
-    /// Returns the number of feeds with a message within [`MAX_FEED_AGE`].
-    pub fn fresh_feeds(&self, now: Mono) -> usize {
-        self.feeds.values().filter(|f| now.since(f.last_message) < MAX_FEED_AGE).count()
+    /// Counts the feeds by the age of their last message; `known` controllers have one.
+    pub fn feed_counts(&self, now: Mono, known: usize) -> FeedCounts {
+        let within = |age| self.feeds.values().filter(|f| now.since(f.last_message) < age).count();
+        FeedCounts { fresh: within(MAX_FEED_AGE), prompt: within(MAX_PROMPT_AGE), known }
     }
 
     /// Returns the number of usable servers.
--- a/crates/hornbeam_discovery/tests/isolation.rs
+++ b/crates/hornbeam_discovery/tests/isolation.rs
@@ -2,8 +2,8 @@
 
 use hornbeam_discovery::{FeedCounts, Isolation};
 
-fn feeds(fresh: usize) -> FeedCounts {
-    FeedCounts { fresh, known: 4 }
+fn feeds(prompt: usize) -> FeedCounts {
+    FeedCounts { fresh: 4, prompt, known: 4 }
 }
 
 #[test]
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -160,19 +160,25 @@
     }
 
     /// Updates the initial synchronization and the isolation of this entry with new feed counts.
-    pub fn on_feed_counts(&self, feeds: FeedCounts) {
+    pub fn on_feed_counts(self: &Rc<Self>, feeds: FeedCounts) {
         self.metrics.fresh_feeds.set(feeds.fresh as i64);
         self.update_initial_sync(feeds);
-        let (ejected, usable) = self.with_engine(|e| (e.ejected_servers(), e.usable_servers()));
+        let (unreachable, usable) =
+            self.with_engine(|e| (e.unreachable_servers(), e.usable_servers()));
         let mut isolation = self.isolation.get();
-        if isolation.update(feeds, ejected, usable) {
-            let fields = json!({
-                "belief": "cut_off", "is": isolation.is_isolated(), "fresh_feeds": feeds.fresh,
-                "known_feeds": feeds.known, "avoided": ejected, "usable": usable,
-            });
-            self.log.write("cut_off", true, &fields);
-        }
+        let changed = isolation.update(feeds, unreachable, usable);
         self.isolation.set(isolation);
+        if !changed {
+            return;
+        }
+        let isolated = isolation.is_isolated();
+        let fields = json!({
+            "belief": "cut_off", "is": isolated, "fresh_feeds": feeds.fresh,
+            "prompt_feeds": feeds.prompt, "known_feeds": feeds.known, "avoided": unreachable,
+            "usable": usable,
+        });
+        self.log.write("cut_off", true, &fields);
+        self.step(Input::Isolated(isolated));
     }
 
     /// Returns true while this entry is isolated: other entries serve its callers better.
@@ -357,6 +363,8 @@
             Decision::CallerGone { .. } => "caller_gone",
             Decision::Ejected { .. } => "ejected",
             Decision::Restored { .. } => "restored",
+            Decision::ZoneUnreachable { .. } => "zone_unreachable",
+            Decision::ZoneRestored { .. } => "zone_restored",
             Decision::ServerPaused { .. } => {
                 self.metrics.notices.with_label_values(&["pause"]).inc();
                 "server_paused"
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -33,8 +33,11 @@
 const FEED_READ_TIMEOUT: Duration = Duration::from_millis(3 * FEED_HEARTBEAT_INTERVAL_MS);
 /// Longest time to open the connection of a feed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Wait before a lost feed is reopened.
-const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// Wait before a lost feed is reopened; doubles with each failure up to
+/// [`MAX_RECONNECT_DELAY`], so that a restarted controller is heard soon.
+const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(20);
+/// Longest wait between two attempts to reopen a feed.
+const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(320);
 /// Interval of the checks for expired claims, lost controllers, suspension and changed settings.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a routing table that has not arrived is requested again, possibly from another
@@ -96,6 +99,8 @@
     directory: Directory,
     feeds: IndexMap<InstanceId, Feed>,
     table: Arc<Routing>,
+    /// Counts that were published last.
+    feed_counts: FeedCounts,
     /// When the latest table was requested, while it has not arrived.
     table_requested_at: Option<Mono>,
     events: mpsc::UnboundedSender<(InstanceId, ConnectionEvent)>,
@@ -124,6 +129,7 @@
         directory: Directory::default(),
         feeds: IndexMap::new(),
         table: Arc::new(Routing::default()),
+        feed_counts: FeedCounts::default(),
         table_requested_at: None,
         events,
         suspension: SuspensionWatch::default(),
@@ -225,6 +231,10 @@
                 feed.last_message = now;
                 self.directory.mark_feed_active(now, from);
                 self.on_message(now, from, *message);
+                // Ends the initial synchronization or an isolation without waiting for the tick.
+                if self.directory.feed_counts(now, self.feeds.len()) != self.feed_counts {
+                    self.publish_feed_counts(now);
+                }
             }
         }
     }
@@ -318,6 +328,11 @@
         }
     }
 
+    fn publish_feed_counts(&mut self, now: Mono) {
+        self.feed_counts = self.directory.feed_counts(now, self.feeds.len());
+        self.publish(FeedEvent::FeedCounts(self.feed_counts));
+    }
+
     fn request_table(&mut self, now: Mono, from: &InstanceId, have: TableVersion) {
         if let Some(feed) = self.feeds.get(from) {
             self.table_requested_at = Some(now);
@@ -349,8 +364,7 @@
             }
             keep
         });
-        let fresh = self.directory.fresh_feeds(now);
-        self.publish(FeedEvent::FeedCounts(FeedCounts { fresh, known: self.feeds.len() }));
+        self.publish_feed_counts(now);
         if let Some(settings) = self.watch.poll(now) {
             self.apply_settings(settings);
         }
@@ -401,10 +415,15 @@
     /// Opens the feed and reopens it each time it is lost.
     async fn run(self, mut rx: mpsc::UnboundedReceiver<FeedUp>) {
         let subscription = Rc::new(self);
+        let mut delay = MIN_RECONNECT_DELAY;
         loop {
-            let error = subscription.run_once(&mut rx).await;
+            let (connected, error) = subscription.run_once(&mut rx).await;
             subscription.send_event(ConnectionEvent::Lost(error));
-            tokio::time::sleep(RECONNECT_DELAY).await;
+            if connected {
+                delay = MIN_RECONNECT_DELAY;
+            }
+            tokio::time::sleep(delay).await;
+            delay = (2 * delay).min(MAX_RECONNECT_DELAY);
         }
     }
 
@@ -413,23 +432,24 @@
         let _ = self.events.send((self.controller.clone(), event));
     }
 
-    /// Follows the controller on one connection; returns why that has ended.
-    async fn run_once(&self, rx: &mut mpsc::UnboundedReceiver<FeedUp>) -> std::io::Error {
+    /// Follows the controller on one connection; returns whether it was open and why it has ended.
+    async fn run_once(&self, rx: &mut mpsc::UnboundedReceiver<FeedUp>) -> (bool, std::io::Error) {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return e,
-            Err(_) => return std::io::ErrorKind::TimedOut.into(),
+            Ok(Err(e)) => return (false, e),
+            Err(_) => return (false, std::io::ErrorKind::TimedOut.into()),
         };
         if let Err(e) = stream.set_nodelay(true) {
-            return e;
+            return (false, e);
         }
         self.send_event(ConnectionEvent::Connected);
         let (mut read, mut write) = stream.into_split();
-        tokio::select! {
+        let error = tokio::select! {
             e = self.receive_messages(&mut read) => e,
             e = self.send_messages(&mut write, rx) => e,
-        }
+        };
+        (true, error)
     }
 
     async fn receive_messages<R: AsyncRead + Unpin>(&self, stream: &mut R) -> std::io::Error {
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -161,6 +161,10 @@
     Ejected { server: ServerId, service: ServiceId, failures: u32, for_ms: u64 },
     /// An ejected server responded and is used again.
     Restored { server: ServerId, service: ServiceId },
+    /// The servers of a zone have become silent together; they get a probe now and then.
+    ZoneUnreachable { zone: SmolStr },
+    /// A server of an unreachable zone responded.
+    ZoneRestored { zone: SmolStr },
     /// A server asked for a pause in its refusal; it gets nothing for this time.
     ServerPaused { request: SmolStr, server: ServerId, service: ServiceId, for_ms: u64 },
     /// A server asked for a pause of a time that cannot be read; the refusal counts as load
@@ -184,6 +188,7 @@
                 | Self::CallerGone { .. }
                 | Self::Ejected { .. }
                 | Self::ServerPaused { .. }
+                | Self::ZoneUnreachable { .. }
                 | Self::PauseIgnored { .. }
                 | Self::GroupFailed { .. }
                 | Self::PeerSuspected { .. }
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -36,6 +36,7 @@
     pub id: SmolStr,
     pub host: SmolStr,
     pub path: SmolStr,
+    pub arrived: Mono,
     pub patience: Option<Duration>,
     pub opened_connection: bool,
 }
@@ -43,7 +44,7 @@
 impl Engine {
     pub(super) fn on_request(&mut self, now: Mono, arrival: Arrival, out: &mut Vec<Output>) {
         let Some(table) = self.table.clone() else {
-            return self.refuse_on_arrival(arrival, None, RefusalKind::NoTable, None, out);
+            return self.await_table(now, arrival, out);
         };
         let Some(route) = self.index.find(&arrival.host, &arrival.path).cloned() else {
             return self.refuse_on_arrival(arrival, None, RefusalKind::NoRoute, None, out);
@@ -63,10 +64,11 @@
         }
         let timeout = route.timeout();
         let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
-        let answer_by = answer_by(now, route.objective().min(patience), arrival.opened_connection);
+        let answer_by =
+            answer_by(arrival.arrived, route.objective().min(patience), arrival.opened_connection);
         let running = RunningRequest {
             table: table.version,
-            arrived: now,
+            arrived: arrival.arrived,
             deadline: now + patience,
             answer_by,
             min_shards,
@@ -157,18 +159,20 @@
         service.expected_wait(priority, places.min(service.limit()))
     }
 
-    /// Returns the time until the first server of a service is available, if all are ejected or
-    /// paused.
+    /// Returns the time until the first server of a service is available, if all are ejected,
+    /// paused or in unreachable zones.
     fn unavailable_for(&self, now: Mono, service: usize) -> Option<Duration> {
         let servers = self.services[service].servers.iter();
         let mut soonest = Mono::MAX;
         for idx in servers {
-            soonest = soonest.min(self.servers[*idx].unavailable_until(now)?);
+            let server = &self.servers[*idx];
+            let until = server.unavailable_until(now).max(self.zones.next_probe(&server.zone))?;
+            soonest = soonest.min(until);
         }
         (soonest > now).then(|| soonest.since(now))
     }
 
-    fn refuse_on_arrival(
+    pub(super) fn refuse_on_arrival(
         &mut self,
         arrival: Arrival,
         route: Option<&Route>,
@@ -204,7 +208,9 @@
         if !kind.has_not_run() || kind == RefusalKind::NoRoute {
             return None;
         }
-        let wait = wait.unwrap_or(DEFAULT_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        // An isolated entry closes the connection, and other entries serve the caller at once.
+        let wait = if self.isolated { None } else { Some(wait.unwrap_or(DEFAULT_RETRY_AFTER)) };
+        let wait = wait.unwrap_or_default().max(MIN_RETRY_AFTER);
         let spread = self.rng.random_range(0.0..RETRY_AFTER_JITTER_PERCENT);
         Some(wait.mul_f64(1.0 + spread / 100.0))
     }
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -45,6 +45,9 @@
         out: &mut Vec<Output>,
     ) {
         let latency = now.since(in_flight.sent_at);
+        if outcome.is_response() {
+            self.record_zone_response(now, in_flight.server, out);
+        }
         match outcome {
             AttemptOutcome::Answered => {
                 let window = self.latency_window(&in_flight.route);
@@ -70,6 +73,25 @@
         }
     }
 
+    /// Records a response of any kind: its zone is reachable.
+    fn record_zone_response(&mut self, now: Mono, server: usize, out: &mut Vec<Output>) {
+        let zone = self.servers[server].zone.clone();
+        if self.zones.record_response(now, &zone) {
+            out.push(Output::Log(Decision::ZoneRestored { zone }));
+        }
+    }
+
+    /// Records that an attempt is late: with those at other servers of the zone, it may show that
+    /// the zone is unreachable.
+    pub(super) fn record_late(&mut self, now: Mono, attempt: AttemptId, out: &mut Vec<Output>) {
+        let Some(in_flight) = self.attempts.get(&attempt) else { return };
+        let (server, sent_at) = (in_flight.server, in_flight.sent_at);
+        let zone = self.servers[server].zone.clone();
+        if self.zones.record_silence(now, &zone, server, sent_at) {
+            out.push(Output::Log(Decision::ZoneUnreachable { zone }));
+        }
+    }
+
     /// Records at the server and its service that an attempt is no longer in flight.
     pub(super) fn record_attempt_end(&mut self, server: usize, attempt: AttemptId) {
         self.servers[server].record_finished(attempt);
@@ -84,6 +106,7 @@
         let overdue: Vec<AttemptId> =
             running.shards.iter().flat_map(|s| &s.in_flight).copied().collect();
         for attempt in overdue {
+            self.record_late(now, attempt, out);
             let Some(mut in_flight) = self.attempts.remove(&attempt) else { continue };
             let usual = self.services[self.servers[in_flight.server].service].mean_latency();
             if now.since(in_flight.sent_at) >= usual * OVERDUE_MEAN_LATENCIES {
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -50,6 +50,9 @@
 
     /// Ends all requests, with the shard responses received if they suffice or else with a refusal.
     pub(super) fn stop(&mut self, now: Mono, out: &mut Vec<Output>) {
+        for key in self.awaiting_table.keys().copied().collect::<Vec<_>>() {
+            self.refuse_without_table(key, out);
+        }
         let mut keys: Vec<QueryId> = self.requests.keys().copied().collect();
         keys.sort_unstable();
         for key in keys {
@@ -151,6 +154,7 @@
     }
 
     pub(super) fn on_caller_gone(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
+        self.awaiting_table.shift_remove(&key);
         let Some(running) = self.remove_request(now, key, out) else { return };
         discard_all(&running, out);
         out.push(Output::Log(Decision::CallerGone {
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -48,10 +48,12 @@
         // attempts would only add to the load.
         let max_hedges = 1 + running.shards.len() / MAX_HEDGED_DIVISOR;
         let mut late = Vec::new();
+        let mut late_attempts = Vec::new();
         for (i, progress) in running.shards.iter_mut().enumerate() {
             if progress.hedge_at.is_none_or(|at| at > now) || progress.status != ShardStatus::Open {
                 continue;
             }
+            late_attempts.extend_from_slice(&progress.in_flight);
             if late.len() == max_hedges {
                 progress.hedge_at = Some(now + HEDGE_RECHECK_INTERVAL);
                 continue;
@@ -61,6 +63,9 @@
                 late.push(i);
             }
         }
+        for attempt in late_attempts {
+            self.record_late(now, attempt, out);
+        }
         for shard in late {
             if !self.hedge_shard(now, key, shard, out)
                 && let Some(running) = self.requests.get_mut(&key)
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -109,6 +109,8 @@
     Table(Arc<Routing>),
     /// Other entries learned that servers are leaving.
     ServersLeaving(Vec<LeavingServer>),
+    /// This entry is isolated from the rest of the fleet, or no longer.
+    Isolated(bool),
     /// Number of entries that share the retry budget and the connections to servers.
     EntryCount(u32),
     /// Other entries reported unhealthy servers.
@@ -200,6 +202,11 @@
 }
 
 impl AttemptOutcome {
+    /// Returns true if the server at the address responded.
+    pub fn is_response(self) -> bool {
+        matches!(self, Self::Answered | Self::Error | Self::NotRun | Self::WrongServer)
+    }
+
     /// Returns the label of the outcome in metrics and in the decision log.
     pub fn label(self) -> &'static str {
         match self {
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -9,6 +9,7 @@
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
 //! - [`gathering`]: shard groups gathered for other entries
+//! - [`startup`]: requests that arrive before the first routing table
 //! - [`servers`]: changes of servers, routing tables and the number of entries
 
 mod admission;
@@ -21,6 +22,7 @@
 mod notices;
 mod placement;
 mod servers;
+mod startup;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -46,6 +48,7 @@
 use crate::server::Server;
 use crate::service::Service;
 use crate::split::Splitter;
+use crate::zones::ZoneReachability;
 
 /// An attempt without an outcome yet.
 #[derive(Debug)]
@@ -66,6 +69,8 @@
 enum Timer {
     Request(QueryId),
     Linger(AttemptId),
+    /// A request has waited too long for the first routing table.
+    AwaitTable(QueryId),
     /// A server of the service with this position has finished its pause.
     PauseEnd(usize),
 }
@@ -85,6 +90,11 @@
     servers: Vec<Server>,
     server_names: HashMap<ServerId, usize>,
     leaving: LeavingServers,
+    zones: ZoneReachability,
+    /// True while this entry is isolated and other entries serve callers better.
+    isolated: bool,
+    /// Requests that wait for the first routing table, in the order of their arrival.
+    awaiting_table: IndexMap<QueryId, admission::Arrival>,
     /// Positions in `servers` that can be reused.
     free_positions: Vec<usize>,
     entries: u32,
@@ -115,6 +125,9 @@
             servers: Vec::new(),
             server_names: HashMap::new(),
             leaving: LeavingServers::default(),
+            zones: ZoneReachability::default(),
+            isolated: false,
+            awaiting_table: IndexMap::new(),
             free_positions: Vec::new(),
             entries: ASSUMED_ENTRY_COUNT,
             requests: HashMap::new(),
@@ -132,8 +145,16 @@
     pub fn step(&mut self, now: Mono, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Request { key, id, host, path, patience, opened_connection } => {
-                let arrival =
-                    admission::Arrival { key, id, host, path, patience, opened_connection };
+                let arrived = now;
+                let arrival = admission::Arrival {
+                    key,
+                    id,
+                    host,
+                    path,
+                    arrived,
+                    patience,
+                    opened_connection,
+                };
                 self.on_request(now, arrival, out);
             }
             Input::CallerGone(key) => self.on_caller_gone(now, key, out),
@@ -146,7 +167,11 @@
                     self.on_server_leaving(now, server, out);
                 }
             }
-            Input::Table(table) => self.on_table(table, out),
+            Input::Table(table) => {
+                self.on_table(table, out);
+                self.admit_waiting(now, out);
+            }
+            Input::Isolated(isolated) => self.isolated = isolated,
             Input::EntryCount(entries) => self.on_entry_count(entries),
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
             Input::Peers(peers) => self.peers.replace(peers),
@@ -167,9 +192,10 @@
         self.timers.peek().map(|Reverse((at, _))| *at)
     }
 
-    /// Returns the number of running requests, with the groups gathered for other entries.
+    /// Returns the number of running requests, with the groups gathered for other entries and the
+    /// requests that wait for a routing table.
     pub fn in_flight(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.awaiting_table.len()
     }
 
     /// Returns the routing table in force.
@@ -192,9 +218,10 @@
         unhealthy.collect()
     }
 
-    /// Returns the number of ejected servers.
-    pub fn ejected_servers(&self) -> usize {
-        self.server_names.values().filter(|i| self.servers[**i].is_ejected()).count()
+    /// Returns the number of servers that are ejected or in an unreachable zone.
+    pub fn unreachable_servers(&self) -> usize {
+        let servers = self.server_names.values().map(|i| &self.servers[*i]);
+        servers.filter(|s| s.is_ejected() || self.zones.is_unreachable(&s.zone)).count()
     }
 
     /// Returns the counters since the start.
@@ -211,6 +238,7 @@
             match timer {
                 Timer::Request(key) => self.on_wake(now, key, out),
                 Timer::Linger(attempt) => self.abort(now, attempt, out),
+                Timer::AwaitTable(key) => self.refuse_without_table(key, out),
                 Timer::PauseEnd(service) => self.dispatch_waiters(now, service, out),
             }
         }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -43,7 +43,7 @@
     Server(usize, f64),
     /// The service or all its servers that are not ejected have no capacity.
     AtCapacity,
-    /// All servers are ejected, paused or excluded, or there are none.
+    /// All servers are ejected, paused, excluded or in unreachable zones, or there are none.
     Unavailable,
 }
 
@@ -181,7 +181,8 @@
         }
     }
 
-    /// Chooses the server of least cost with capacity, except for those in `exclude`. A server that
+    /// Chooses the server of least cost with capacity, except for those in `exclude` and in
+    /// unreachable zones, unless a probe of the zone is due. A server that
     /// would respond long after `due` is chosen only if there is no other one: its response would
     /// be too late and cost it the same work.
     pub(super) fn choose_server(
@@ -212,6 +213,13 @@
             }
             let jitter = 1.0 + self.rng.random_range(0.0..COST_JITTER);
             let cost = server.cost(now, usual) * jitter;
+            if self.zones.is_unreachable(&server.zone) {
+                // A retry or hedge replaces an attempt that failed, so it is no probe.
+                if exclude.is_empty() && self.zones.start_probe_if_due(now, &server.zone) {
+                    return ServerChoice::Server(*idx, cost);
+                }
+                continue;
+            }
             if now < due && now + server.expected_latency(now, usual).div_f64(TOO_SLOW_RATIO) > due
             {
                 if too_slow.is_none_or(|(_, least)| cost < least) {
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
 //! - [`request`]: state of one running request
+//! - [`zones`]: detects that a whole zone has become unreachable
 //! - [`split`]: weighted distribution of requests over services
 //! - [`merge`]: merges the records of shard responses into one ranking
 //! - [`notice`]: servers that leave or ask for a pause
@@ -24,6 +25,7 @@
 pub mod server;
 pub mod service;
 pub mod split;
+pub mod zones;
 
 pub use budget::{RetryBudget, RetryBudgetParams};
 pub use decision::{AttemptKind, Decision, GroupFailure};
--- a/crates/hornbeam_route/tests/common/harness.rs
+++ b/crates/hornbeam_route/tests/common/harness.rs
@@ -22,37 +22,46 @@
 pub struct Harness {
     pub engine: Engine,
     pub out: Vec<Output>,
+    route: Arc<Route>,
 }
 
 impl Harness {
     /// `allowance` is the retry budget of eight entries together.
     pub fn new(route: Route, allowance: u32) -> Self {
+        let mut harness = Self::without_table(route, allowance);
+        harness.receive_table(T);
+        harness.out.clear();
+        harness
+    }
+
+    /// An engine that has not received its table and servers yet.
+    pub fn without_table(route: Route, allowance: u32) -> Self {
         let budget = RetryBudgetParams { percent: 0, window: Duration::from_secs(10), allowance };
-        let mut harness = Self {
-            engine: Engine::new(EngineParams {
-                zone: "olomouc".parse().unwrap(),
-                budget,
-                delegate_above: 32,
-                max_in_flight: 100,
-                linger: 300 * MS,
-                seed: 1,
-            }),
-            out: Vec::new(),
-        };
+        let engine = Engine::new(EngineParams {
+            zone: "olomouc".parse().unwrap(),
+            budget,
+            delegate_above: 32,
+            max_in_flight: 100,
+            linger: 300 * MS,
+            seed: 1,
+        });
+        Self { engine, out: Vec::new(), route: Arc::new(route) }
+    }
+
+    /// Passes the servers, the table and the number of entries to the engine.
+    pub fn receive_table(&mut self, now: Mono) {
+        for n in 0..2 {
+            self.step(now, Input::Servers(vec![usable(n, 1)]));
+        }
+        // With eight entries, each may have one attempt in flight at a server.
+        self.step(now, Input::EntryCount(8));
         let table = Routing {
             version: TableVersion(1),
-            routes: vec![Arc::new(route)],
+            routes: vec![self.route.clone()],
             services: [(service("tablet"), RoutedService { max_connections: 8 })].into(),
             ..Routing::default()
         };
-        harness.step(T, Input::Table(Arc::new(table)));
-        // With eight entries, each may have one attempt in flight at a server.
-        harness.step(T, Input::EntryCount(8));
-        for n in 0..2 {
-            harness.step(T, Input::Servers(vec![usable(n, 1)]));
-        }
-        harness.out.clear();
-        harness
+        self.step(now, Input::Table(Arc::new(table)));
     }
 
     /// Passes one input to the engine.
@@ -68,6 +77,11 @@
 
     /// Sends a request and keeps the outputs.
     pub fn send_request(&mut self, now: Mono, key: u64) {
+        self.send_request_with_patience(now, key, None);
+    }
+
+    /// Sends a request of a caller that waits for this time, and keeps the outputs.
+    pub fn send_request_with_patience(&mut self, now: Mono, key: u64, patience: Option<Duration>) {
         self.step(
             now,
             Input::Request {
@@ -75,7 +89,7 @@
                 id: format!("r{key}").into(),
                 host: "plots.example".into(),
                 path: "/lookup/1".into(),
-                patience: None,
+                patience,
                 opened_connection: false,
             },
         );
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -22,7 +22,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-pub use sites::{CHECKS_PER_SECOND, CONSORTIUM, HANAK, SWEEPS_PER_SECOND, Site, run_searches};
+pub use sites::{
+    CHECKS_PER_SECOND, CONSORTIUM, HANAK, SWEEPS_PER_SECOND, Site, run_searches, warm_up,
+};
 
 /// One-way network latency between two instances.
 const ONE_WAY_LATENCY: Duration = Duration::from_micros(400);
@@ -77,6 +79,8 @@
     /// An attempt at a server ends; the number is a position in the list of outcomes.
     AttemptFinished(AttemptKey, usize, u8),
     Wake(usize),
+    /// A restarted entry hears its controllers.
+    Sync(usize),
     /// The message with this number arrives at an entry.
     PeerMessage(usize, u64),
 }
@@ -126,6 +130,7 @@
     /// Mean processing time of a request, by route.
     work: Vec<Duration>,
     paths: Vec<String>,
+    table: Arc<Routing>,
     routes: Vec<Route>,
     by_name: BTreeMap<ServerId, usize>,
     /// Servers of each service that accepted a caller's request.
@@ -196,6 +201,17 @@
     }
 }
 
+fn engine_params(entry: usize, seed: u64) -> EngineParams {
+    EngineParams {
+        zone: ["olomouc", "prerov"][entry % 2].parse().unwrap(),
+        budget: budget(),
+        delegate_above: 32,
+        max_in_flight: 1_000,
+        linger: Duration::from_millis(300),
+        seed: seed + entry as u64,
+    }
+}
+
 fn entry_name(entry: usize) -> InstanceId {
     format!("e{entry}").parse().unwrap()
 }
@@ -219,22 +235,15 @@
         work: Vec<Duration>,
         copies: usize,
     ) -> Self {
-        let params = |i: usize| EngineParams {
-            zone: ["olomouc", "prerov"][i % 2].parse().unwrap(),
-            budget: budget(),
-            delegate_above: 32,
-            max_in_flight: 1_000,
-            linger: Duration::from_millis(300),
-            seed: seed + i as u64,
-        };
         let mut world = Self {
             // Later than the window in which the allowance of a new entry grows.
             now: Mono::from_millis(20_000),
-            engines: (0..entries).map(|i| Engine::new(params(i))).collect(),
+            engines: (0..entries).map(|i| Engine::new(engine_params(i, seed))).collect(),
             servers: Vec::new(),
             ended: Vec::new(),
             decisions: Vec::new(),
             work,
+            table: Arc::default(),
             paths: routes.iter().map(|r| format!("{}x", r.prefix)).collect(),
             by_name: BTreeMap::new(),
             servers_reached: HashMap::new(),
@@ -279,6 +288,7 @@
             ..Routing::default()
         };
         let table = Arc::new(table);
+        self.table = table.clone();
         for i in 0..self.engines.len() {
             self.step(i, Input::Table(table.clone()));
         }
@@ -311,16 +321,37 @@
     /// Sends the routing table, the number of entries and the servers to an entry that has just
     /// started.
     pub fn sync_entry(&mut self, entry: usize) {
-        let other = (entry + 1) % self.engines.len();
-        let table = self.engines[other].table().cloned().expect("the other entries have a table");
-        self.step(entry, Input::Table(table));
-        self.step(entry, Input::EntryCount(self.engines.len() as u32));
         for server in 0..self.servers.len() {
             let name = self.servers[server].name.clone();
             let (service, copy) = name.as_str().rsplit_once('-').expect("named by add_server");
             let change = usable(&name, service.parse().unwrap(), copy.parse().unwrap());
             self.step(entry, Input::Servers(vec![change]));
         }
+        self.step(entry, Input::EntryCount(self.engines.len() as u32));
+        self.step(entry, Input::Table(self.table.clone()));
+    }
+
+    /// Restarts every entry; each knows servers and table again after `sync_time`.
+    pub fn restart_entries(&mut self, sync_time: Duration) {
+        for entry in 0..self.engines.len() {
+            let at = self.now + sync_time;
+            self.engines[entry] = Engine::new(engine_params(entry, self.next_key));
+            self.schedule(at, Event::Sync(entry));
+        }
+        // The requests that were running are lost with their connections.
+        self.running.clear();
+        let events = std::mem::take(&mut self.events);
+        let is_kept = |e: &Event| {
+            !matches!(
+                e,
+                Event::AttemptArrival(..) | Event::WorkDone(..) | Event::AttemptFinished(..)
+            )
+        };
+        self.events = events.into_iter().filter(|Reverse((_, _, e))| is_kept(e)).collect();
+        for server in &mut self.servers {
+            server.running.clear();
+            server.queue.clear();
+        }
     }
 
     /// Makes all servers pause periodically.
@@ -358,6 +389,12 @@
         of_service.map(|s| s.arrivals).sum()
     }
 
+    /// Number of requests that arrived at the servers whose names end like this.
+    pub fn arrivals_of(&self, suffix: &str) -> u64 {
+        let matching = self.servers.iter().filter(|s| s.name.as_str().ends_with(suffix));
+        matching.map(|s| s.arrivals).sum()
+    }
+
     /// Sets the fault of one server.
     pub fn set_server_fault(&mut self, server: &str, fault: Fault) {
         let name: ServerId = server.parse().unwrap();
@@ -416,7 +453,10 @@
                 Some(entry)
             }
             Event::AttemptFinished((entry, _), _, _) => Some(entry),
-            Event::Request(_) | Event::AttemptArrival(..) | Event::WorkDone(..) => None,
+            Event::Request(_)
+            | Event::Sync(_)
+            | Event::AttemptArrival(..)
+            | Event::WorkDone(..) => None,
         }
     }
 
@@ -430,6 +470,9 @@
             }
         }
         match event {
+            Event::Sync(entry) => {
+                self.sync_entry(entry);
+            }
             Event::Request(route) => {
                 let entry = self.rng.random_range(0..self.engines.len());
                 self.handle(Event::EntryRequest(route, entry));
--- a/crates/hornbeam_route/tests/common/sites.rs
+++ b/crates/hornbeam_route/tests/common/sites.rs
@@ -56,3 +56,12 @@
     world.run(time + Duration::from_secs(2));
     (world.score(0), world.score(1))
 }
+
+/// Sends requests of the first route one after the other, until the entries have measured it.
+pub fn warm_up(world: &mut World, requests: usize) {
+    for _ in 0..requests {
+        world.request(0);
+        world.run(Duration::from_millis(50));
+    }
+    world.ended.clear();
+}
--- /dev/null
+++ b/crates/hornbeam_route/tests/lost_zone.rs
@@ -0,0 +1,117 @@
+//! A zone that is lost at peak load: its servers become silent together.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fault, HANAK, World, scatter};
+use hornbeam_model::Mono;
+use hornbeam_route::zones::ZoneReachability;
+use hornbeam_route::{Completion, Decision};
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Makes the servers of the second zone unresponsive: one copy of every shard.
+fn lose_zone(world: &mut World, shards: usize) {
+    for shard in 0..shards {
+        world.set_server_fault(&format!("s{shard}-1"), Fault::Unresponsive);
+    }
+}
+
+#[test]
+fn searches_go_on() {
+    let mut world = HANAK.start(21);
+    lose_zone(&mut world, 20);
+    let (sweep, check) = common::run_searches(&mut world, 1.0, 2 * SECOND);
+    // The other zone has the capacity for all searches. Those of the first 200 ms, a tenth, may be
+    // lost before the zone is known to be unreachable.
+    assert!(sweep > 0.85 && check > 0.85, "{sweep} {check}");
+}
+
+#[test]
+fn detected_within_objective() {
+    let mut world = HANAK.start(22);
+    lose_zone(&mut world, 20);
+    let lost_at = world.now;
+    world.decisions.clear();
+    common::run_searches(&mut world, 1.0, SECOND);
+    let is_detection = |d: &Decision| matches!(d, Decision::ZoneUnreachable { .. });
+    let detected = world.decisions.iter().filter(|(_, d)| is_detection(d));
+    let times: Vec<Duration> = detected.map(|(at, _)| at.since(lost_at)).collect();
+    // Each entry gets ten searches a second, of which one suffices.
+    assert!(times.len() >= HANAK.entries, "{} of {} entries", times.len(), HANAK.entries);
+    let in_time = times.iter().filter(|t| **t < 300 * MS).count();
+    assert!(in_time * 3 >= HANAK.entries * 2, "{times:?}");
+}
+
+#[test]
+fn restored_at_once() {
+    let mut world = HANAK.start(23);
+    lose_zone(&mut world, 20);
+    common::run_searches(&mut world, 1.0, SECOND);
+    for shard in 0..20 {
+        world.set_server_fault(&format!("s{shard}-1"), Fault::None);
+    }
+    world.decisions.clear();
+    let back_at = world.now;
+    common::run_searches(&mut world, 1.0, SECOND);
+    let is_restored = |d: &Decision| matches!(d, Decision::ZoneRestored { .. });
+    let restored = world.decisions.iter().filter(|(_, d)| is_restored(d));
+    let times: Vec<Duration> = restored.map(|(at, _)| at.since(back_at)).collect();
+    let in_time = times.iter().filter(|t| **t < 400 * MS).count();
+    assert!(in_time * 3 >= HANAK.entries * 2, "{times:?}");
+}
+
+#[test]
+fn all_zones_lost() {
+    // An entry that is cut off refuses at once what it cannot serve.
+    let sweep = scatter("sweep", 20, 150, 0.9);
+    let mut world = World::new(24, 1, vec![sweep], vec![4 * MS], 2);
+    common::warm_up(&mut world, 20);
+    for shard in 0..20 {
+        world.set_fault(&format!("s{shard}"), Fault::Unresponsive);
+    }
+    world.request(0);
+    world.run(300 * MS);
+    world.ended.clear();
+    world.schedule_load(0, 50.0, SECOND);
+    world.run(2 * SECOND);
+    let at_once = world.ended.iter().filter(|e| e.latency < 10 * MS);
+    let refused = at_once.filter(|e| matches!(e.completion, Completion::Refuse(_))).count();
+    assert!(refused * 10 >= world.ended.len() * 7, "{refused} of {}", world.ended.len());
+}
+
+#[test]
+fn slow_zone_is_used() {
+    let mut world = HANAK.start(25);
+    for shard in 0..20 {
+        world.set_server_fault(&format!("s{shard}-1"), Fault::Slow(5.0));
+    }
+    let (sweep, check) = common::run_searches(&mut world, 1.0, 2 * SECOND);
+    assert!(sweep > 0.85 && check > 0.85, "{sweep} {check}");
+    let served = world.arrivals_of("-1");
+    assert!(served * 20 > world.arrivals_of("-0"), "{served} requests went to the slow zone");
+}
+
+#[test]
+fn earlier_attempts_do_not_count() {
+    let mut zones = ZoneReachability::default();
+    let zone = "prerov".into();
+    let at = Mono::from_millis;
+    zones.record_response(at(100), &zone);
+    for server in 0..10 {
+        assert!(!zones.record_silence(at(200), &zone, server, at(90)), "sent before a response");
+    }
+    for server in 0..3 {
+        assert!(!zones.record_silence(at(200), &zone, server, at(110)));
+        assert!(!zones.record_silence(at(210), &zone, server, at(120)), "the same server again");
+    }
+    assert!(zones.record_silence(at(200), &zone, 3, at(110)));
+    assert!(zones.is_unreachable(&zone));
+    assert!(!zones.start_probe_if_due(at(250), &zone));
+    assert!(zones.start_probe_if_due(at(310), &zone));
+    assert!(!zones.start_probe_if_due(at(320), &zone), "one probe at a time");
+    assert!(zones.record_response(at(330), &zone));
+    assert!(!zones.is_unreachable(&zone));
+}
