Controllers recall their servers after a restart; isolation by lost zones

Searches are refused for want of servers.

Change: a controller keeps its claims in data_dir/servers, written at most each heartbeat interval by a thread of its own and only after a change. It starts with those saved within the last minute, each with a new lease; departures stay final. Isolation: if all other zones have been silent for 200 ms, probes included, fewer than half of the feeds with a recent message suffice.

--- a/crates/hornbeam_controller/src/lib.rs
+++ b/crates/hornbeam_controller/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod feed;
 pub mod metrics;
 pub mod run;
+mod server_file;
 pub mod state;
 pub mod tables;
 
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -30,6 +30,7 @@
 use crate::api::{ApiRequest, ApiResponse};
 use crate::feed::{FeedEvent, FeedId, FeedSender};
 use crate::metrics::Metrics;
+use crate::server_file::ServerFile;
 use crate::tables::RecentTables;
 
 /// Number of heartbeats that a server may miss before its lease expires.
@@ -60,6 +61,10 @@
     log: StructuredLog,
     metrics: Metrics,
     registry: Registry,
+    /// `None` without a data folder, or if it cannot be written.
+    server_file: Option<ServerFile>,
+    /// True if the registry has changed since it was saved.
+    servers_changed: bool,
     health_reports: HealthReports,
     /// `None` without a data folder and while the disk cannot be used.
     voter: Option<Voter>,
@@ -137,6 +142,8 @@
             log: params.log,
             metrics: params.metrics,
             registry: Registry::new(RegistryParams { lease }),
+            server_file: None,
+            servers_changed: false,
             health_reports: HealthReports::default(),
             voter: None,
             reopen_at: now,
@@ -158,6 +165,7 @@
     /// Runs the event loop until the senders of `inputs` are dropped.
     pub async fn run(mut self, mut inputs: Inputs) {
         self.add_seeds();
+        self.recall_servers(self.clock.now());
         self.tick().await;
         loop {
             let wake = self.clock.instant(self.next_wake());
@@ -216,6 +224,7 @@
                 );
             }
             self.publish_changes(lapsed);
+            self.save_servers();
             self.publish_fleet_status();
             self.publish_entries();
             let reports = self.health_reports.summary(now);
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hornbeam_discovery::SavedServers;
 use hornbeam_model::{Mono, Zone};
 use hornbeam_node::clock::unix_ms;
 use hornbeam_protocol::discovery::{
@@ -15,6 +16,7 @@
 use super::{Controller, Feed};
 use crate::api::ApiRequest;
 use crate::feed::{FeedEvent, FeedId};
+use crate::server_file::ServerFile;
 
 /// Time since the last message after which an entry no longer counts; longer than a restart.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(15);
@@ -61,8 +63,37 @@
         self.publish_changes(vec![change]);
     }
 
+    /// Opens the file of known servers and recalls those that were saved recently.
+    pub(super) fn recall_servers(&mut self, now: Mono) {
+        let Some(data_dir) = &self.settings.data_dir else { return };
+        match ServerFile::open(data_dir) {
+            Ok((file, saved)) => {
+                let claims = saved.recent(unix_ms() as u64);
+                let fields = json!({"belief": "servers_recalled", "servers": claims.len()});
+                self.write_log("servers_recalled", false, &fields);
+                self.registry.recall(now, claims);
+                self.server_file = Some(file);
+            }
+            Err(e) => {
+                let fields = json!({"belief": "servers_not_recalled", "reason": e.to_string()});
+                self.write_log("servers_recalled", true, &fields);
+            }
+        }
+    }
+
+    /// Saves the known servers if they have changed since the last time.
+    pub(super) fn save_servers(&mut self) {
+        if let Some(file) = &self.server_file
+            && std::mem::take(&mut self.servers_changed)
+        {
+            let (unix_ms, claims) = (unix_ms() as u64, self.registry.claims());
+            file.save(SavedServers { unix_ms, claims });
+        }
+    }
+
     pub(super) fn publish_changes(&mut self, changes: Vec<FeedChange>) {
         if !changes.is_empty() {
+            self.servers_changed = true;
             self.broadcast(&FeedDown::Changes(changes));
         }
     }
--- a/crates/hornbeam_discovery/src/directory.rs
+++ b/crates/hornbeam_discovery/src/directory.rs
@@ -24,6 +24,8 @@
 /// Time since the last message up to which a feed counts as prompt: its next heartbeat is at most
 /// half an interval late.
 pub const MAX_PROMPT_AGE: Duration = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS * 3 / 2);
+/// Time since the last message up to which a feed counts as recent: half of its interval.
+pub const MAX_RECENT_AGE: Duration = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS / 2);
 
 /// A change to the set of usable servers.
 #[derive(Clone, Debug, PartialEq)]
@@ -152,7 +154,12 @@
     /// Counts the feeds by the age of their last message; `known` controllers have one.
     pub fn feed_counts(&self, now: Mono, known: usize) -> FeedCounts {
         let within = |age| self.feeds.values().filter(|f| now.since(f.last_message) < age).count();
-        FeedCounts { fresh: within(MAX_FEED_AGE), prompt: within(MAX_PROMPT_AGE), known }
+        FeedCounts {
+            fresh: within(MAX_FEED_AGE),
+            prompt: within(MAX_PROMPT_AGE),
+            recent: within(MAX_RECENT_AGE),
+            known,
+        }
     }
 
     /// Returns the number of usable servers.
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -14,9 +14,11 @@
 pub mod initial_sync;
 pub mod isolation;
 pub mod registry;
+pub mod saved_servers;
 
 pub use directory::{Directory, ServerUpdate};
 pub use health_reports::HealthReports;
 pub use initial_sync::InitialSync;
-pub use isolation::{FeedCounts, Isolation};
+pub use isolation::{FeedCounts, Isolation, ServerReach};
 pub use registry::{Registry, RegistryParams};
+pub use saved_servers::SavedServers;
--- a/crates/hornbeam_discovery/src/registry.rs
+++ b/crates/hornbeam_discovery/src/registry.rs
@@ -40,6 +40,14 @@
         Self { params, servers: IndexMap::new() }
     }
 
+    /// Adds the servers that were known before a restart, each with a new lease.
+    pub fn recall(&mut self, now: Mono, claims: Vec<ServerClaim>) {
+        for claim in claims {
+            // Nothing is published: a controller that has just started has no feeds.
+            let _ = self.record_heartbeat(now, claim);
+        }
+    }
+
     /// Records a heartbeat and returns the change to publish, if the claim differs from the known
     /// one.
     pub fn record_heartbeat(&mut self, now: Mono, claim: ServerClaim) -> Option<FeedChange> {
--- a/crates/hornbeam_discovery/tests/initial_sync.rs
+++ b/crates/hornbeam_discovery/tests/initial_sync.rs
@@ -7,7 +7,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 fn feeds(fresh: usize) -> FeedCounts {
-    FeedCounts { fresh, prompt: fresh, known: 3 }
+    FeedCounts { fresh, prompt: fresh, recent: fresh, known: 3 }
 }
 
 #[test]
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeam_discovery::{FeedCounts, InitialSync, Isolation};
+use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
 use hornbeam_model::{AttemptId, Mono, QueryId};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
@@ -163,10 +163,14 @@
     pub fn on_feed_counts(self: &Rc<Self>, feeds: FeedCounts) {
         self.metrics.fresh_feeds.set(feeds.fresh as i64);
         self.update_initial_sync(feeds);
-        let (unreachable, usable) =
-            self.with_engine(|e| (e.unreachable_servers(), e.usable_servers()));
+        let now = self.clock.now();
+        let servers = self.with_engine(|e| ServerReach {
+            usable: e.usable_servers(),
+            unreachable: e.unreachable_servers(),
+            other_zones_lost: e.other_zones_lost(now),
+        });
         let mut isolation = self.isolation.get();
-        let changed = isolation.update(feeds, unreachable, usable);
+        let changed = isolation.update(feeds, servers);
         self.isolation.set(isolation);
         if !changed {
             return;
@@ -174,8 +178,9 @@
         let isolated = isolation.is_isolated();
         let fields = json!({
             "belief": "cut_off", "is": isolated, "fresh_feeds": feeds.fresh,
-            "prompt_feeds": feeds.prompt, "known_feeds": feeds.known, "avoided": unreachable,
-            "usable": usable,
+            "prompt_feeds": feeds.prompt, "recent_feeds": feeds.recent, "known_feeds": feeds.known,
+            "avoided": servers.unreachable, "usable": servers.usable,
+            "other_zones_lost": servers.other_zones_lost,
         });
         self.log.write("cut_off", true, &fields);
         self.step(Input::Isolated(isolated));
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -171,7 +171,12 @@
                 self.on_table(table, out);
                 self.admit_waiting(now, out);
             }
-            Input::Isolated(isolated) => self.isolated = isolated,
+            Input::Isolated(isolated) => {
+                self.isolated = isolated;
+                if !isolated {
+                    self.zones.reset();
+                }
+            }
             Input::EntryCount(entries) => self.on_entry_count(entries),
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
             Input::Peers(peers) => self.peers.replace(peers),
@@ -218,6 +223,13 @@
         unhealthy.collect()
     }
 
+    /// Returns true if there are servers in other zones, and all these zones are lost.
+    pub fn other_zones_lost(&self, now: Mono) -> bool {
+        let servers = self.server_names.values().map(|i| &self.servers[*i]);
+        let mut others = servers.filter(|s| !s.same_zone).peekable();
+        others.peek().is_some() && others.all(|s| self.zones.is_lost(now, &s.zone))
+    }
+
     /// Returns the number of servers that are ejected or in an unreachable zone.
     pub fn unreachable_servers(&self) -> usize {
         let servers = self.server_names.values().map(|i| &self.servers[*i]);
--- a/crates/hornbeam_route/src/zones.rs
+++ b/crates/hornbeam_route/src/zones.rs
@@ -16,12 +16,16 @@
 const MIN_SILENT_SERVERS: usize = 4;
 /// Interval between two probes of an unreachable zone.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from which an unreachable zone counts as lost; two probes of it had no response.
+const LOST_AFTER: Duration = Duration::from_millis(200);
 
 #[derive(Debug, Default)]
 struct ZoneState {
     /// Servers with a late attempt that was sent after the last response of any server of the zone.
     silent: IndexSet<usize>,
     last_response: Mono,
+    /// When the zone became unreachable, if it is.
+    unreachable_since: Mono,
     probed_at: Mono,
 }
 
@@ -63,6 +67,7 @@
         state.silent.insert(server);
         if state.is_unreachable() {
             state.probed_at = now;
+            state.unreachable_since = now;
         }
         state.is_unreachable()
     }
@@ -72,6 +77,19 @@
         self.zones.get(zone).is_some_and(ZoneState::is_unreachable)
     }
 
+    /// Returns true if the zone has been unreachable for long enough to count as lost.
+    pub fn is_lost(&self, now: Mono, zone: &SmolStr) -> bool {
+        let state = self.zones.get(zone).filter(|z| z.is_unreachable());
+        state.is_some_and(|z| now.since(z.unreachable_since) >= LOST_AFTER)
+    }
+
+    /// Forgets which zones are unreachable.
+    pub fn reset(&mut self) {
+        for state in self.zones.values_mut() {
+            state.silent.clear();
+        }
+    }
+
     /// Returns when an unreachable zone may be probed next, and `None` if the zone is reachable.
     pub fn next_probe(&self, zone: &SmolStr) -> Option<Mono> {
         let state = self.zones.get(zone).filter(|z| z.is_unreachable())?;
