Lost connections show a lost zone; blank voters cannot object; truthful retry times

After the loss of a disk and all power, the election waited 500 ms for objections of a voter whose disk is blank. A request refused after its arrival told its caller 300 ms, whatever was known.

Change: lost attempts count as silence of their zone; a zone is unreachable after two mean latencies of silence, since refused connections fail before others can respond. The objection period is skipped if each other voter has confirmed the disk or is blank. Retry-After is the time until as many services as the request needs have capacity, at each refusal.

--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -270,7 +270,11 @@
         // time to object.
         let period_over =
             self.identity.first_hello_at.is_some_and(|at| now.since(at) >= OBJECTION_PERIOD);
-        let all_confirmed = others.iter().all(|v| self.identity.known_by.contains(v));
+        // A voter with a blank disk has nothing to object with.
+        let is_settled = |v: &InstanceId| {
+            self.identity.known_by.contains(v) || self.identity.blank_voters.contains(v)
+        };
+        let all_confirmed = others.iter().all(is_settled);
         if self.is_majority(self.identity.known_by.len()) && (all_confirmed || period_over) {
             self.role = Role::Follower;
             self.schedule_first_election(now);
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -41,6 +41,33 @@
     pub opened_connection: bool,
 }
 
+/// When the services of a route have capacity for a request.
+#[derive(Debug, Default)]
+pub(super) struct Prospects {
+    /// Services with a wait that still allows a response within the objective.
+    in_time: usize,
+    /// Waits of the services that have servers but a longer queue.
+    too_long: Vec<Duration>,
+    /// Times until the first server of each other service is available.
+    unavailable_for: Vec<Duration>,
+}
+
+impl Prospects {
+    /// Returns the number of services with an available server.
+    fn reachable(&self) -> usize {
+        self.in_time + self.too_long.len()
+    }
+
+    /// Returns the time after which `count` services have capacity. `None` if it is not known:
+    /// they have some now, or too few of them have a known server.
+    pub fn time_until(mut self, count: usize) -> Option<Duration> {
+        let needed = count.checked_sub(self.in_time + 1)?;
+        self.too_long.append(&mut self.unavailable_for);
+        self.too_long.sort_unstable();
+        self.too_long.get(needed).copied()
+    }
+}
+
 impl Engine {
     pub(super) fn on_request(&mut self, now: Mono, arrival: Arrival, out: &mut Vec<Output>) {
         let Some(table) = self.table.clone() else {
@@ -113,41 +140,39 @@
         if self.requests.len() >= self.params.max_in_flight {
             return Some((RefusalKind::Overloaded, None));
         }
-        let mut in_time = 0;
-        let mut shortest_wait = Duration::MAX;
-        let mut unavailable_for = Vec::new();
-        let mut reachable = 0;
+        let prospects = self.prospects(now, route, services);
+        if prospects.reachable() < min_shards {
+            return Some((RefusalKind::NoServer, prospects.time_until(min_shards)));
+        }
+        if prospects.in_time < min_shards {
+            return Some((RefusalKind::Overloaded, prospects.time_until(min_shards)));
+        }
+        None
+    }
+
+    /// Estimates when each service of a route has capacity for a request that arrives now.
+    pub(super) fn prospects(&self, now: Mono, route: &Route, services: &[usize]) -> Prospects {
+        let mut prospects = Prospects::default();
         for position in services {
             let service = &self.services[*position];
             if service.servers.is_empty() {
                 continue;
             }
             if let Some(time) = self.unavailable_for(now, *position) {
-                unavailable_for.push(time);
+                prospects.unavailable_for.push(time);
                 continue;
             }
-            reachable += 1;
             let reported =
                 service.reported_wait.filter(|(_, until)| now < *until).map(|(wait, _)| wait);
-            let wait = self
-                .expected_wait(now, *position, route.priority)
-                .max(reported.unwrap_or_default());
+            let wait = self.expected_wait(now, *position, route.priority);
+            let wait = wait.max(reported.unwrap_or_default());
             if wait <= max_wait(route, service.mean_latency()) {
-                in_time += 1;
+                prospects.in_time += 1;
             } else {
-                shortest_wait = shortest_wait.min(wait);
+                prospects.too_long.push(wait);
             }
         }
-        if reachable < min_shards {
-            // The request can run once enough of the services are available again.
-            unavailable_for.sort_unstable();
-            let wait = unavailable_for.get(min_shards - reachable - 1).copied();
-            return Some((RefusalKind::NoServer, wait));
-        }
-        if in_time < min_shards {
-            return Some((RefusalKind::Overloaded, Some(shortest_wait)));
-        }
-        None
+        prospects
     }
 
     /// Returns the expected wait for capacity at the servers of a service.
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -47,6 +47,8 @@
         let latency = now.since(in_flight.sent_at);
         if outcome.is_response() {
             self.record_zone_response(now, in_flight.server, out);
+        } else if outcome != AttemptOutcome::Withheld {
+            self.record_zone_silence(now, in_flight.server, in_flight.sent_at, out);
         }
         match outcome {
             AttemptOutcome::Answered => {
@@ -86,8 +88,19 @@
     pub(super) fn record_late(&mut self, now: Mono, attempt: AttemptId, out: &mut Vec<Output>) {
         let Some(in_flight) = self.attempts.get(&attempt) else { return };
         let (server, sent_at) = (in_flight.server, in_flight.sent_at);
+        self.record_zone_silence(now, server, sent_at, out);
+    }
+
+    fn record_zone_silence(
+        &mut self,
+        now: Mono,
+        server: usize,
+        sent_at: Mono,
+        out: &mut Vec<Output>,
+    ) {
+        let usual = self.services[self.servers[server].service].mean_latency();
         let zone = self.servers[server].zone.clone();
-        if self.zones.record_silence(now, &zone, server, sent_at) {
+        if self.zones.record_silence(now, &zone, server, sent_at, usual) {
             out.push(Output::Log(Decision::ZoneUnreachable { zone }));
         }
     }
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -125,7 +125,10 @@
     fn refuse(&mut self, now: Mono, key: QueryId, kind: RefusalKind, out: &mut Vec<Output>) {
         let Some(running) = self.remove_request(now, key, out) else { return };
         discard_all(&running, out);
-        let refusal = Refusal { kind, retry_after: self.retry_after(kind, None) };
+        let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
+        let prospects = self.prospects(now, &running.route, &services);
+        let wait = prospects.time_until(running.min_shards);
+        let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
         self.log_refusal(now, &running, kind, Some(refusal), out);
         out.push(Output::Complete { request: key, completion: Completion::Refuse(refusal) });
     }
--- a/crates/hornbeam_route/src/zones.rs
+++ b/crates/hornbeam_route/src/zones.rs
@@ -8,12 +8,15 @@
 use std::time::Duration;
 
 use hornbeam_model::Mono;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use smol_str::SmolStr;
 
 /// Silent servers from which a zone counts as unreachable, provided that none of its servers has
 /// responded meanwhile. Zones with fewer servers rely on the ejection of each.
 const MIN_SILENT_SERVERS: usize = 4;
+/// Time of silence from which a zone counts as unreachable, in mean latencies: servers that refuse
+/// connections fail before the others can respond.
+const MIN_SILENT_LATENCIES: u32 = 2;
 /// Interval between two probes of an unreachable zone.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from which an unreachable zone counts as lost; two probes of it had no response.
@@ -21,17 +24,24 @@
 
 #[derive(Debug, Default)]
 struct ZoneState {
-    /// Servers with a late attempt that was sent after the last response of any server of the zone.
-    silent: IndexSet<usize>,
+    /// Servers with a late or lost attempt that was sent after the last response of any server of
+    /// the zone, and when the attempt was sent.
+    silent: IndexMap<usize, Mono>,
     last_response: Mono,
-    /// When the zone became unreachable, if it is.
-    unreachable_since: Mono,
+    /// When the zone became unreachable; `None` while it is reachable.
+    unreachable_since: Option<Mono>,
     probed_at: Mono,
 }
 
 impl ZoneState {
     fn is_unreachable(&self) -> bool {
-        self.silent.len() >= MIN_SILENT_SERVERS
+        self.unreachable_since.is_some()
+    }
+
+    /// Forgets all silent servers; returns true if the zone was unreachable.
+    fn reset(&mut self) -> bool {
+        self.silent.clear();
+        self.unreachable_since.take().is_some()
     }
 }
 
@@ -46,30 +56,33 @@
     pub fn record_response(&mut self, now: Mono, zone: &SmolStr) -> bool {
         let state = self.zones.entry(zone.clone()).or_default();
         state.last_response = now;
-        let was_unreachable = state.is_unreachable();
-        state.silent.clear();
-        was_unreachable
+        state.reset()
     }
 
-    /// Records that an attempt sent at `sent_at` to the server at this position is late; returns
-    /// true if the zone is unreachable from now on.
+    /// Records that an attempt sent at `sent_at` to the server at this position is late or lost,
+    /// where `usual` is the mean latency of its service; returns true if the zone is unreachable
+    /// from now on.
     pub fn record_silence(
         &mut self,
         now: Mono,
         zone: &SmolStr,
         server: usize,
         sent_at: Mono,
+        usual: Duration,
     ) -> bool {
         let state = self.zones.entry(zone.clone()).or_default();
         if sent_at <= state.last_response || state.is_unreachable() {
             return false;
         }
-        state.silent.insert(server);
-        if state.is_unreachable() {
-            state.probed_at = now;
-            state.unreachable_since = now;
+        state.silent.entry(server).or_insert(sent_at);
+        let first = state.silent.values().min().copied().unwrap_or(now);
+        let silent_for = now.since(first);
+        if state.silent.len() < MIN_SILENT_SERVERS || silent_for < usual * MIN_SILENT_LATENCIES {
+            return false;
         }
-        state.is_unreachable()
+        state.probed_at = now;
+        state.unreachable_since = Some(now);
+        true
     }
 
     /// Returns true if no server of the zone is reachable.
@@ -79,14 +92,14 @@
 
     /// Returns true if the zone has been unreachable for long enough to count as lost.
     pub fn is_lost(&self, now: Mono, zone: &SmolStr) -> bool {
-        let state = self.zones.get(zone).filter(|z| z.is_unreachable());
-        state.is_some_and(|z| now.since(z.unreachable_since) >= LOST_AFTER)
+        let since = self.zones.get(zone).and_then(|z| z.unreachable_since);
+        since.is_some_and(|at| now.since(at) >= LOST_AFTER)
     }
 
     /// Forgets which zones are unreachable.
     pub fn reset(&mut self) {
         for state in self.zones.values_mut() {
-            state.silent.clear();
+            state.reset();
         }
     }
 
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -142,6 +142,8 @@
     /// CPU time of an entry for each input and each message that it sends.
     pub entry_work: Duration,
     pub entry_faults: Vec<EntryFault>,
+    /// An entry and the fraction of all requests that goes to it beside its part of the others.
+    pub preferred_entry: Option<(usize, f64)>,
     busy_until: Vec<Mono>,
     peer_messages: HashMap<u64, PeerMessage>,
     /// Origin entry and group, by the key of the group at its gathering entry.
@@ -251,6 +253,7 @@
             running: HashMap::new(),
             entry_work: Duration::ZERO,
             entry_faults: vec![EntryFault::None; entries],
+            preferred_entry: None,
             busy_until: vec![Mono::default(); entries],
             peer_messages: HashMap::new(),
             gathers: HashMap::new(),
@@ -474,7 +477,11 @@
                 self.sync_entry(entry);
             }
             Event::Request(route) => {
-                let entry = self.rng.random_range(0..self.engines.len());
+                let drawn = self.rng.random_range(0..self.engines.len());
+                let entry = match self.preferred_entry {
+                    Some((entry, part)) if self.rng.random_bool(part) => entry,
+                    _ => drawn,
+                };
                 self.handle(Event::EntryRequest(route, entry));
             }
             Event::EntryRequest(route, entry) => {
--- a/crates/hornbeam_route/tests/lost_zone.rs
+++ b/crates/hornbeam_route/tests/lost_zone.rs
@@ -101,13 +101,15 @@
     let at = Mono::from_millis;
     zones.record_response(at(100), &zone);
     for server in 0..10 {
-        assert!(!zones.record_silence(at(200), &zone, server, at(90)), "sent before a response");
+        let newly = zones.record_silence(at(200), &zone, server, at(90), 10 * MS);
+        assert!(!newly, "sent before a response");
     }
     for server in 0..3 {
-        assert!(!zones.record_silence(at(200), &zone, server, at(110)));
-        assert!(!zones.record_silence(at(210), &zone, server, at(120)), "the same server again");
+        assert!(!zones.record_silence(at(200), &zone, server, at(110), 10 * MS));
+        let newly = zones.record_silence(at(210), &zone, server, at(120), 10 * MS);
+        assert!(!newly, "the same server again");
     }
-    assert!(zones.record_silence(at(200), &zone, 3, at(110)));
+    assert!(zones.record_silence(at(200), &zone, 3, at(110), 10 * MS));
     assert!(zones.is_unreachable(&zone));
     assert!(!zones.start_probe_if_due(at(250), &zone));
     assert!(zones.start_probe_if_due(at(310), &zone));
@@ -115,3 +117,15 @@
     assert!(zones.record_response(at(330), &zone));
     assert!(!zones.is_unreachable(&zone));
 }
+
+#[test]
+fn refused_connections_alone() {
+    let mut zones = ZoneReachability::default();
+    let zone = "prerov".into();
+    let at = Mono::from_millis;
+    for server in 0..8 {
+        let newly = zones.record_silence(at(101), &zone, server, at(100), 10 * MS);
+        assert!(!newly, "the other servers have had no time to respond");
+    }
+    assert!(zones.record_silence(at(130), &zone, 2, at(129), 10 * MS), "nor did they later");
+}
--- a/crates/hornbeam_route/tests/notices.rs
+++ b/crates/hornbeam_route/tests/notices.rs
@@ -196,6 +196,10 @@
         Some(RefusalKind::NoServer),
         "the request is refused at once, as not run"
     );
+    let spread = 1.25 * 1.2;
+    let Some(Completion::Refuse(first)) = harness.completion() else { unreachable!() };
+    let retry_after = first.retry_after.expect("the end of the pause is known");
+    assert!(retry_after >= SECOND && retry_after <= SECOND.mul_f64(spread), "{retry_after:?}");
     // A request during the pauses is refused on arrival, until the first pause ends.
     harness.out.clear();
     harness.send_request(T + 400 * MS, 500);
@@ -203,7 +207,6 @@
         panic!("not refused: {:?}", harness.out)
     };
     let retry_after = refusal.retry_after.expect("the end of the pause is known");
-    let spread = 1.25 * 1.2;
     assert!(retry_after >= 600 * MS && retry_after <= SECOND.mul_f64(spread), "{retry_after:?}");
     assert_eq!(servers_sent_to(&harness.out), Vec::<String>::new());
     let (_, server) = send(&mut harness, T + 1_251 * MS, 600).expect("the first pause is over");
--- a/crates/hornbeam_route/tests/worst_load.rs
+++ b/crates/hornbeam_route/tests/worst_load.rs
@@ -150,6 +150,16 @@
     assert!(score > MIN_OF_IDEAL * IDEAL_SIX_LOST, "{sweep} {check}");
 }
 
+#[test]
+fn uneven_entries() {
+    let mut world = CONSORTIUM.start(12);
+    // The balancer hashes callers, so one entry of seven gets a third of the load; the servers have
+    // capacity for all of it.
+    world.preferred_entry = Some((0, 0.25));
+    let (sweep, check) = common::run_searches(&mut world, 0.8, 6 * SECOND);
+    assert!(sweep > MIN_OF_IDEAL && check > MIN_OF_IDEAL, "{sweep} {check}");
+}
+
 #[test]
 fn budget_of_busy_shards() {
     let mut world = CONSORTIUM.start(11);
