--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -185,13 +185,15 @@
     }
 
     /// Returns the time until the first server of a service is available, if all are ejected,
-    /// paused or in unreachable zones.
+    /// paused or in lost zones.
     fn unavailable_for(&self, now: Mono, service: usize) -> Option<Duration> {
         let servers = self.services[service].servers.iter();
         let mut soonest = Mono::MAX;
         for idx in servers {
             let server = &self.servers[*idx];
-            let until = server.unavailable_until(now).max(self.zones.next_probe(&server.zone))?;
+            let lost = self.zones.is_lost(now, &server.zone);
+            let next_probe = self.zones.next_probe(&server.zone).filter(|_| lost);
+            let until = server.unavailable_until(now).max(next_probe)?;
             soonest = soonest.min(until);
         }
         (soonest > now).then(|| soonest.since(now))
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -1,8 +1,10 @@
 //! Outcomes of attempts, and retries.
 
+use std::cmp::Reverse;
+
 use hornbeam_model::{AttemptId, Mono, QueryId};
 
-use super::{AttemptOutcome, Engine, InFlightAttempt, Output};
+use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::Decision;
 use crate::notice::ServerNotice;
 use crate::request::ShardStatus;
@@ -48,7 +50,7 @@
         if outcome.is_response() {
             self.record_zone_response(now, in_flight.server, out);
         } else if outcome != AttemptOutcome::Withheld {
-            self.record_zone_silence(now, in_flight.server, in_flight.sent_at, out);
+            self.record_zone_silence(now, in_flight.server, in_flight.sent_at);
         }
         match outcome {
             AttemptOutcome::Answered => {
@@ -85,22 +87,25 @@
 
     /// Records that an attempt is late: with those at other servers of the zone, it may show that
     /// the zone is unreachable.
-    pub(super) fn record_late(&mut self, now: Mono, attempt: AttemptId, out: &mut Vec<Output>) {
+    pub(super) fn record_late(&mut self, now: Mono, attempt: AttemptId) {
         let Some(in_flight) = self.attempts.get(&attempt) else { return };
         let (server, sent_at) = (in_flight.server, in_flight.sent_at);
-        self.record_zone_silence(now, server, sent_at, out);
+        self.record_zone_silence(now, server, sent_at);
     }
 
-    fn record_zone_silence(
-        &mut self,
-        now: Mono,
-        server: usize,
-        sent_at: Mono,
-        out: &mut Vec<Output>,
-    ) {
+    fn record_zone_silence(&mut self, now: Mono, server: usize, sent_at: Mono) {
         let usual = self.services[self.servers[server].service].mean_latency();
         let zone = self.servers[server].zone.clone();
-        if self.zones.record_silence(now, &zone, server, sent_at, usual) {
+        let confirm_at = self.zones.record_silence(now, &zone, server, sent_at, usual);
+        if let Some((at, position)) = confirm_at.zip(self.zones.position(&zone)) {
+            self.timers.push(Reverse((at, Timer::ConfirmZone(position))));
+        }
+    }
+
+    /// Treats a zone as unreachable if it is still silent.
+    pub(super) fn confirm_zone(&mut self, now: Mono, position: usize, out: &mut Vec<Output>) {
+        let Some(zone) = self.zones.name(position).cloned() else { return };
+        if self.zones.confirm(now, &zone) {
             out.push(Output::Log(Decision::ZoneUnreachable { zone }));
         }
     }
@@ -119,7 +124,7 @@
         let overdue: Vec<AttemptId> =
             running.shards.iter().flat_map(|s| &s.in_flight).copied().collect();
         for attempt in overdue {
-            self.record_late(now, attempt, out);
+            self.record_late(now, attempt);
             let Some(mut in_flight) = self.attempts.remove(&attempt) else { continue };
             let usual = self.services[self.servers[in_flight.server].service].mean_latency();
             if now.since(in_flight.sent_at) >= usual * OVERDUE_MEAN_LATENCIES {
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -64,7 +64,7 @@
             }
         }
         for attempt in late_attempts {
-            self.record_late(now, attempt, out);
+            self.record_late(now, attempt);
         }
         for shard in late {
             if !self.hedge_shard(now, key, shard, out)
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -71,6 +71,8 @@
     Linger(AttemptId),
     /// A request has waited too long for the first routing table.
     AwaitTable(QueryId),
+    /// The zone at this position has been silent since it was suspected to be unreachable.
+    ConfirmZone(usize),
     /// A server of the service with this position has finished its pause.
     PauseEnd(usize),
 }
@@ -250,6 +252,7 @@
             match timer {
                 Timer::Request(key) => self.on_wake(now, key, out),
                 Timer::Linger(attempt) => self.abort(now, attempt, out),
+                Timer::ConfirmZone(zone) => self.confirm_zone(now, zone, out),
                 Timer::AwaitTable(key) => self.refuse_without_table(key, out),
                 Timer::PauseEnd(service) => self.dispatch_waiters(now, service, out),
             }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -43,7 +43,7 @@
     Server(usize, f64),
     /// The service or all its servers that are not ejected have no capacity.
     AtCapacity,
-    /// All servers are ejected, paused, excluded or in unreachable zones, or there are none.
+    /// All servers are ejected, paused, excluded or in lost zones, or there are none.
     Unavailable,
 }
 
@@ -181,8 +181,9 @@
         }
     }
 
-    /// Chooses the server of least cost with capacity, except for those in `exclude` and in
-    /// unreachable zones, unless a probe of the zone is due. A server that
+    /// Chooses the server of least cost with capacity, except for those in `exclude`. One in an
+    /// unreachable zone is chosen only as a probe of the zone, or if there is no other one and the
+    /// zone is not lost yet. A server that
     /// would respond long after `due` is chosen only if there is no other one: its response would
     /// be too late and cost it the same work.
     pub(super) fn choose_server(
@@ -198,6 +199,7 @@
         let usual = self.services[service].mean_latency();
         let mut best: Option<(usize, f64)> = None;
         let mut too_slow: Option<(usize, f64)> = None;
+        let mut in_silent_zone: Option<(usize, f64)> = None;
         let mut full = false;
         for idx in &self.services[service].servers {
             let server = &mut self.servers[*idx];
@@ -218,6 +220,11 @@
                 if exclude.is_empty() && self.zones.start_probe_if_due(now, &server.zone) {
                     return ServerChoice::Server(*idx, cost);
                 }
+                if !self.zones.is_lost(now, &server.zone)
+                    && in_silent_zone.is_none_or(|(_, least)| cost < least)
+                {
+                    in_silent_zone = Some((*idx, cost));
+                }
                 continue;
             }
             if now < due && now + server.expected_latency(now, usual).div_f64(TOO_SLOW_RATIO) > due
@@ -231,7 +238,7 @@
                 best = Some((*idx, cost));
             }
         }
-        match best.or(if full { None } else { too_slow }) {
+        match best.or(if full { None } else { too_slow.or(in_silent_zone) }) {
             Some((idx, cost)) => ServerChoice::Server(idx, cost),
             None if full => ServerChoice::AtCapacity,
             None => ServerChoice::Unavailable,
--- a/crates/hornbeam_route/src/zones.rs
+++ b/crates/hornbeam_route/src/zones.rs
@@ -17,6 +17,9 @@
 /// Time of silence from which a zone counts as unreachable, in mean latencies: servers that refuse
 /// connections fail before the others can respond.
 const MIN_SILENT_LATENCIES: u32 = 2;
+/// Shortest time after which silence is confirmed. An entry that was late itself reads the responses
+/// that have arrived meanwhile within it.
+const MIN_CONFIRMATION_TIME: Duration = Duration::from_millis(10);
 /// Interval between two probes of an unreachable zone.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from which an unreachable zone counts as lost; two probes of it had no response.
@@ -28,6 +31,8 @@
     /// the zone, and when the attempt was sent.
     silent: IndexMap<usize, Mono>,
     last_response: Mono,
+    /// True from when the zone is suspected to be unreachable until its next response.
+    suspected: bool,
     /// When the zone became unreachable; `None` while it is reachable.
     unreachable_since: Option<Mono>,
     probed_at: Mono,
@@ -41,6 +46,7 @@
     /// Forgets all silent servers; returns true if the zone was unreachable.
     fn reset(&mut self) -> bool {
         self.silent.clear();
+        self.suspected = false;
         self.unreachable_since.take().is_some()
     }
 }
@@ -60,8 +66,8 @@
     }
 
     /// Records that an attempt sent at `sent_at` to the server at this position is late or lost,
-    /// where `usual` is the mean latency of its service; returns true if the zone is unreachable
-    /// from now on.
+    /// where `usual` is the mean latency of its service. Returns when to call [`Self::confirm`] if
+    /// this makes the zone suspected.
     pub fn record_silence(
         &mut self,
         now: Mono,
@@ -69,22 +75,41 @@
         server: usize,
         sent_at: Mono,
         usual: Duration,
-    ) -> bool {
+    ) -> Option<Mono> {
         let state = self.zones.entry(zone.clone()).or_default();
-        if sent_at <= state.last_response || state.is_unreachable() {
-            return false;
+        if sent_at <= state.last_response || state.suspected {
+            return None;
         }
         state.silent.entry(server).or_insert(sent_at);
         let first = state.silent.values().min().copied().unwrap_or(now);
         let silent_for = now.since(first);
         if state.silent.len() < MIN_SILENT_SERVERS || silent_for < usual * MIN_SILENT_LATENCIES {
-            return false;
+            return None;
         }
+        state.suspected = true;
+        Some(now + usual.max(MIN_CONFIRMATION_TIME))
+    }
+
+    /// Returns true if the zone is unreachable from now on, because none of its servers has
+    /// responded since it was suspected.
+    pub fn confirm(&mut self, now: Mono, zone: &SmolStr) -> bool {
+        let suspected = |z: &&mut ZoneState| z.suspected && !z.is_unreachable();
+        let Some(state) = self.zones.get_mut(zone).filter(suspected) else { return false };
         state.probed_at = now;
         state.unreachable_since = Some(now);
         true
     }
 
+    /// Returns the position of a zone, which stays the same.
+    pub fn position(&self, zone: &SmolStr) -> Option<usize> {
+        self.zones.get_index_of(zone)
+    }
+
+    /// Returns the name of the zone at a position.
+    pub fn name(&self, position: usize) -> Option<&SmolStr> {
+        self.zones.get_index(position).map(|(name, _)| name)
+    }
+
     /// Returns true if no server of the zone is reachable.
     pub fn is_unreachable(&self, zone: &SmolStr) -> bool {
         self.zones.get(zone).is_some_and(ZoneState::is_unreachable)
@@ -103,7 +128,7 @@
         }
     }
 
-    /// Returns when an unreachable zone may be probed next, and `None` if the zone is reachable.
+    /// Returns when an unreachable zone may be probed next; `None` if the zone is reachable.
     pub fn next_probe(&self, zone: &SmolStr) -> Option<Mono> {
         let state = self.zones.get(zone).filter(|z| z.is_unreachable())?;
         Some(state.probed_at + PROBE_INTERVAL)
