--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -227,7 +227,9 @@
             self.save_servers();
             self.publish_fleet_status();
             self.publish_entries();
-            let reports = self.health_reports.summary(now);
+            // Each server is reported by the controllers that hear it, not by all of them.
+            let registry = &self.registry;
+            let reports = self.health_reports.summary(now, |s| registry.claim(s).is_some());
             if !reports.is_empty() {
                 self.broadcast(&FeedDown::HealthReports(reports));
             }
--- a/crates/hornbeam_discovery/src/directory.rs
+++ b/crates/hornbeam_discovery/src/directory.rs
@@ -151,6 +151,11 @@
         self.refresh(now, touched)
     }
 
+    /// Returns true if a controller claims a server in its feed.
+    pub fn is_claimed_by(&self, from: &InstanceId, server: &ServerId) -> bool {
+        self.feeds.get(from).is_some_and(|f| f.claims.contains_key(server))
+    }
+
     /// Counts the feeds by the age of their last message; `known` controllers have one.
     pub fn feed_counts(&self, now: Mono, known: usize) -> FeedCounts {
         let within = |age| self.feeds.values().filter(|f| now.since(f.last_message) < age).count();
--- a/crates/hornbeam_discovery/src/health_reports.rs
+++ b/crates/hornbeam_discovery/src/health_reports.rs
@@ -29,15 +29,21 @@
         self.reports.insert(entry, (now, reports));
     }
 
-    /// Summarizes the reports that are not older than `MAX_REPORT_AGE`. The slowness of a server is
+    /// Summarizes the reports that are not older than `MAX_REPORT_AGE` on the servers that
+    /// `concerns` selects. The slowness of a server is
     /// the median over its reporters, of two middle values the higher one. A server is unresponsive
     /// if at least half of its reporters, and at least two, say so. A report of a single entry does
     /// not count: otherwise all entries would avoid a healthy server at once and overload its
     /// replicas.
-    pub fn summary(&mut self, now: Mono) -> Vec<HealthReport> {
+    pub fn summary(
+        &mut self,
+        now: Mono,
+        concerns: impl Fn(&ServerId) -> bool,
+    ) -> Vec<HealthReport> {
         self.reports.retain(|_, (at, _)| now.since(*at) < MAX_REPORT_AGE);
         let mut by_server: IndexMap<&ServerId, Vec<&HealthReport>> = IndexMap::new();
-        for report in self.reports.values().flat_map(|(_, reports)| reports) {
+        let reports = self.reports.values().flat_map(|(_, reports)| reports);
+        for report in reports.filter(|r| concerns(&r.server)) {
             by_server.entry(&report.server).or_default().push(report);
         }
         let confirmed = by_server.into_iter().filter(|(_, reports)| reports.len() >= MIN_REPORTERS);
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -85,6 +85,8 @@
     /// created.
     last_message: Mono,
     connected: bool,
+    /// True if the health reports sent last were not empty.
+    reported: bool,
     /// Number of entries that follow the controller.
     entries: u32,
     /// Entries of this entry's zone that follow the controller, this entry included.
@@ -176,8 +178,15 @@
         };
         let task = tokio::task::spawn_local(subscription.run(rx)).abort_handle();
         let last_message = self.params.clock.now();
-        let feed =
-            Feed { tx, task, last_message, connected: false, entries: 0, zone_entries: Vec::new() };
+        let feed = Feed {
+            tx,
+            task,
+            last_message,
+            connected: false,
+            reported: false,
+            entries: 0,
+            zone_entries: Vec::new(),
+        };
         self.feeds.insert(controller.clone(), feed);
     }
 
@@ -201,11 +210,17 @@
         let _ = self.params.tx.send(event);
     }
 
-    /// Sends this entry's own health reports to all connected controllers.
-    fn send_health_reports(&self, reports: &[HealthReport]) {
-        for feed in self.feeds.values().filter(|f| f.connected) {
-            // A feed that has just been lost sends them once it is reopened.
-            let _ = feed.tx.send(FeedUp::HealthReports(reports.to_vec()));
+    /// Sends each connected controller this entry's health reports on the servers that it claims.
+    fn send_health_reports(&mut self, reports: &[HealthReport]) {
+        for (controller, feed) in self.feeds.iter_mut().filter(|(_, f)| f.connected) {
+            let claimed = |r: &&HealthReport| self.directory.is_claimed_by(controller, &r.server);
+            let reports: Vec<HealthReport> = reports.iter().filter(claimed).cloned().collect();
+            // An empty list withdraws the previous reports.
+            let reported = std::mem::replace(&mut feed.reported, !reports.is_empty());
+            if !reports.is_empty() || reported {
+                // A feed that has just been lost sends them once it is reopened.
+                let _ = feed.tx.send(FeedUp::HealthReports(reports));
+            }
         }
     }
 
@@ -232,7 +247,9 @@
                 self.directory.mark_feed_active(now, from);
                 self.on_message(now, from, *message);
                 // Ends the initial synchronization or an isolation without waiting for the tick.
-                if self.directory.feed_counts(now, self.feeds.len()) != self.feed_counts {
+                let counts = self.directory.feed_counts(now, self.feeds.len());
+                let before = self.feed_counts;
+                if (counts.fresh, counts.prompt) != (before.fresh, before.prompt) {
                     self.publish_feed_counts(now);
                 }
             }
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -4,7 +4,7 @@
 
 use hornbeam_model::{AttemptId, Mono, QueryId};
 
-use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
+use super::{AttemptOutcome, Engine, InFlightAttempt, MAX_TIMER_DELAY, Output, Timer};
 use crate::decision::Decision;
 use crate::notice::ServerNotice;
 use crate::request::ShardStatus;
@@ -123,8 +123,11 @@
         let Some(running) = self.requests.get(&key) else { return };
         let overdue: Vec<AttemptId> =
             running.shards.iter().flat_map(|s| &s.in_flight).copied().collect();
+        let timer_is_late = now.since(running.answer_by) >= MAX_TIMER_DELAY;
         for attempt in overdue {
-            self.record_late(now, attempt);
+            if !timer_is_late {
+                self.record_late(now, attempt);
+            }
             let Some(mut in_flight) = self.attempts.remove(&attempt) else { continue };
             let usual = self.services[self.servers[in_flight.server].service].mean_latency();
             if now.since(in_flight.sent_at) >= usual * OVERDUE_MEAN_LATENCIES {
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -8,7 +8,7 @@
 
 use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId, Route, Scatter, ServiceId, Target};
 
-use super::{Delegation, Engine, GroupEvent, Output};
+use super::{Delegation, Engine, GroupEvent, MAX_TIMER_DELAY, Output};
 use crate::decision::{Decision, GroupFailure};
 use crate::request::{RunningRequest, ShardStatus};
 
@@ -18,9 +18,6 @@
 /// Percentage of the time until the response is due after which a group that no entry has started
 /// to gather is reclaimed, so that its shards can still respond in time.
 const RECLAIM_AFTER_PERCENT: u32 = 45;
-/// Delay of this entry's timer from which messages of peers may have arrived without being read
-/// yet; reclaiming is then postponed by the same time.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(3);
 /// Reserve for merging the responses of many shards and writing the response, on a tenth of a core.
 const MERGE_RESERVE: Duration = Duration::from_millis(3);
 /// Time for which a queue wait reported by a gathering entry is used.
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -5,7 +5,7 @@
 use hornbeam_model::{Mono, QueryId};
 
 use super::placement::{PlannedAttempt, ServerChoice};
-use super::{Engine, Output};
+use super::{Engine, MAX_TIMER_DELAY, Output};
 use crate::decision::{AttemptKind, Decision};
 use crate::request::ShardStatus;
 
@@ -50,7 +50,12 @@
         let mut late = Vec::new();
         let mut late_attempts = Vec::new();
         for (i, progress) in running.shards.iter_mut().enumerate() {
-            if progress.hedge_at.is_none_or(|at| at > now) || progress.status != ShardStatus::Open {
+            let Some(at) = progress.hedge_at.filter(|at| *at <= now) else { continue };
+            if progress.status != ShardStatus::Open {
+                continue;
+            }
+            if now.since(at) >= MAX_TIMER_DELAY {
+                progress.hedge_at = Some(now + MAX_TIMER_DELAY);
                 continue;
             }
             late_attempts.extend_from_slice(&progress.in_flight);
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -27,6 +27,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use hornbeam_model::{AttemptId, Mono, QueryId, RouteId, RouteIndex, Routing, ServerId, ServiceId};
 use hornbeam_traffic::latency::LatencyWindow;
@@ -111,6 +112,9 @@
 
 /// Number of entries assumed until it is received; more than any fleet with one table has today.
 const ASSUMED_ENTRY_COUNT: u32 = 64;
+/// Delay of this entry's timer from which responses and messages of peers may have arrived without
+/// being read yet. What a missing response would cause is then postponed by the same time.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(3);
 /// Quantile of a route's latencies after which a hedge is sent.
 const HEDGE_QUANTILE: f64 = 0.9;
 
@@ -252,6 +256,10 @@
             match timer {
                 Timer::Request(key) => self.on_wake(now, key, out),
                 Timer::Linger(attempt) => self.abort(now, attempt, out),
+                Timer::ConfirmZone(zone) if now.since(at) >= MAX_TIMER_DELAY => {
+                    let timer = Timer::ConfirmZone(zone);
+                    self.timers.push(Reverse((now + MAX_TIMER_DELAY, timer)));
+                }
                 Timer::ConfirmZone(zone) => self.confirm_zone(now, zone, out),
                 Timer::AwaitTable(key) => self.refuse_without_table(key, out),
                 Timer::PauseEnd(service) => self.dispatch_waiters(now, service, out),
--- a/crates/hornbeam_route/tests/retries.rs
+++ b/crates/hornbeam_route/tests/retries.rs
@@ -74,6 +74,10 @@
     let mut harness = Harness::new(lookup(), 80);
     let first = harness.request(T, 1).expect("sent");
     harness.step(T + 120 * MS, Input::Tick);
+    assert_eq!(harness.take_attempt(), None, "the timer is late, so responses may wait unread");
+    let due = harness.engine.next_wake().expect("the hedge is postponed");
+    assert!(due <= T + 123 * MS, "{due:?}");
+    harness.step(due, Input::Tick);
     let hedge = harness.take_attempt().expect("hedge");
     harness.step(T + 200 * MS, Input::Tick);
     assert_eq!(harness.take_attempt(), None, "no second hedge");
