The connection of a feed has a file of its own; a late refusal logs how long it took

A request that is refused after it waited for the first table logged took_ms 0.

Measured: code moved, one log field; route and entry tests pass.

--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`groups`]: shard groups in the core
 //! - [`group_exchange`]: exchange of shard groups between entries
 //! - [`peer_connection`]: a connection between two entries that carries messages
+//! - [`feed_connection`]: the connection to one controller
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - [`metrics`]: Prometheus metrics
 //! - [`mod@run`]: starts, runs and drains an entry
@@ -19,6 +20,7 @@
 pub mod backends;
 pub mod core;
 pub mod dialect;
+pub mod feed_connection;
 pub mod feeds;
 pub mod front;
 pub mod group_exchange;
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -74,7 +74,7 @@
             return self.await_table(now, arrival, out);
         };
         let Some(route) = self.index.find(&arrival.host, &arrival.path).cloned() else {
-            return self.refuse_on_arrival(arrival, None, RefusalKind::NoRoute, None, out);
+            return self.refuse_on_arrival(now, arrival, None, RefusalKind::NoRoute, None, out);
         };
         let services = self.services_for(&route);
         let delegates = self.should_delegate(&route, services.len());
@@ -87,7 +87,7 @@
             Target::Single(_) | Target::Split(_) => 1,
         };
         if let Some((kind, wait)) = self.admission_refusal(now, &route, &services, min_shards) {
-            return self.refuse_on_arrival(arrival, Some(&route), kind, wait, out);
+            return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
         let timeout = route.timeout();
         let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
@@ -201,6 +201,7 @@
 
     pub(super) fn refuse_on_arrival(
         &mut self,
+        now: Mono,
         arrival: Arrival,
         route: Option<&Route>,
         kind: RefusalKind,
@@ -212,7 +213,7 @@
             request: arrival.id,
             route: route.map(|r| r.name.clone()),
             reason: kind,
-            took_ms: 0,
+            took_ms: now.since(arrival.arrived).as_millis() as u64,
             parts: 0,
             sends: 0,
             retry_after_ms: refusal.retry_after.map(|d| d.as_millis() as u64),
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -51,7 +51,7 @@
     /// Ends all requests, with the shard responses received if they suffice or else with a refusal.
     pub(super) fn stop(&mut self, now: Mono, out: &mut Vec<Output>) {
         for key in self.awaiting_table.keys().copied().collect::<Vec<_>>() {
-            self.refuse_without_table(key, out);
+            self.refuse_without_table(now, key, out);
         }
         let mut keys: Vec<QueryId> = self.requests.keys().copied().collect();
         keys.sort_unstable();
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -261,7 +261,7 @@
                     self.timers.push(Reverse((now + MAX_TIMER_DELAY, timer)));
                 }
                 Timer::ConfirmZone(zone) => self.confirm_zone(now, zone, out),
-                Timer::AwaitTable(key) => self.refuse_without_table(key, out),
+                Timer::AwaitTable(key) => self.refuse_without_table(now, key, out),
                 Timer::PauseEnd(service) => self.dispatch_waiters(now, service, out),
             }
         }
--- a/crates/hornbeam_route/src/engine/startup.rs
+++ b/crates/hornbeam_route/src/engine/startup.rs
@@ -23,7 +23,7 @@
     /// Lets a request wait for the first routing table, or refuses it if too many wait already.
     pub(super) fn await_table(&mut self, now: Mono, arrival: Arrival, out: &mut Vec<Output>) {
         if self.awaiting_table.len() >= self.params.max_in_flight {
-            return self.refuse_on_arrival(arrival, None, RefusalKind::NoTable, None, out);
+            return self.refuse_on_arrival(now, arrival, None, RefusalKind::NoTable, None, out);
         }
         let wait = arrival.patience.unwrap_or(ASSUMED_PATIENCE) / MAX_WAIT_DIVISOR;
         self.timers.push(Reverse((now + wait, Timer::AwaitTable(arrival.key))));
@@ -40,9 +40,9 @@
     }
 
     /// Refuses a request that has waited too long for a routing table, if it still waits.
-    pub(super) fn refuse_without_table(&mut self, key: QueryId, out: &mut Vec<Output>) {
+    pub(super) fn refuse_without_table(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         if let Some(arrival) = self.awaiting_table.shift_remove(&key) {
-            self.refuse_on_arrival(arrival, None, RefusalKind::NoTable, None, out);
+            self.refuse_on_arrival(now, arrival, None, RefusalKind::NoTable, None, out);
         }
     }
 }
