--- a/crates/hornbeam_discovery/src/health_reports.rs
+++ b/crates/hornbeam_discovery/src/health_reports.rs
@@ -30,11 +30,10 @@
     }
 
     /// Summarizes the reports that are not older than `MAX_REPORT_AGE` on the servers that
-    /// `concerns` selects. The slowness of a server is
-    /// the median over its reporters, of two middle values the higher one. A server is unresponsive
-    /// if at least half of its reporters, and at least two, say so. A report of a single entry does
-    /// not count: otherwise all entries would avoid a healthy server at once and overload its
-    /// replicas.
+    /// `concerns` selects. The slowness of a server is the median over its reporters, of two middle
+    /// values the higher one. A server is unresponsive if at least half of its reporters, and at
+    /// least two, say so. A report of a single entry does not count: otherwise all entries would
+    /// avoid a healthy server at once and overload its replicas.
     pub fn summary(
         &mut self,
         now: Mono,
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -161,7 +161,7 @@
     Ejected { server: ServerId, service: ServiceId, failures: u32, for_ms: u64 },
     /// An ejected server responded and is used again.
     Restored { server: ServerId, service: ServiceId },
-    /// The servers of a zone have become silent together; they get a probe now and then.
+    /// The servers of a zone have become silent together; the zone is probed at intervals.
     ZoneUnreachable { zone: SmolStr },
     /// A server of an unreachable zone responded.
     ZoneRestored { zone: SmolStr },
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -142,9 +142,9 @@
         self.services[service].retry_budget.allows_retry(now, self.entries, rank)
     }
 
-    /// Sends a shard whose servers are all ejected or paused to an ejected one: as a probe that the response does not wait for
-    /// if the other shards suffice, and otherwise as an attempt that it needs, even if no probe is
-    /// due.
+    /// Sends a shard whose servers are all ejected or paused to an ejected one: as a probe that the
+    /// response does not wait for if the other shards suffice, and otherwise as an attempt that it
+    /// needs, even if no probe is due.
     fn place_on_ejected(
         &mut self,
         now: Mono,
--- a/crates/hornbeam_route/src/notice.rs
+++ b/crates/hornbeam_route/src/notice.rs
@@ -10,7 +10,7 @@
 /// not exclude a server until its restart.
 pub const MAX_PAUSE: Duration = Duration::from_secs(300);
 /// Number of leaving servers that are remembered; the one that has been known longest is forgotten
-/// first. More than leave a fleet of the design size in a day.
+/// first. Bounds the memory to about a megabyte.
 const MAX_LEAVING_SERVERS: usize = 16_384;
 
 /// What a server states about itself in a response.
