A pause outlasts the lapse of its server

A server whose claims lapsed and that was announced again in the same start got requests within the time that it had asked for.

Change: the engine keeps the ends of pauses by server and incarnation and applies them when the server is announced again. A later start knows nothing of them.

Measured: route/tests/notices pause_outlasts_lapse sends to the paused server before and not after.

--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -29,7 +29,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{AttemptId, Mono, QueryId, RouteId, RouteIndex, Routing, ServerId, ServiceId};
+use hornbeam_model::{
+    AttemptId, Incarnation, Mono, QueryId, RouteId, RouteIndex, Routing, ServerId, ServiceId,
+};
 use hornbeam_traffic::latency::LatencyWindow;
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -93,6 +95,8 @@
     servers: Vec<Server>,
     server_names: HashMap<ServerId, usize>,
     leaving: LeavingServers,
+    /// Ends of the pauses that servers asked for, also of servers that are not known meanwhile.
+    pauses: HashMap<ServerId, (Incarnation, Mono)>,
     zones: ZoneReachability,
     /// True while this entry is isolated and other entries serve callers better.
     isolated: bool,
@@ -131,6 +135,7 @@
             servers: Vec::new(),
             server_names: HashMap::new(),
             leaving: LeavingServers::default(),
+            pauses: HashMap::new(),
             zones: ZoneReachability::default(),
             isolated: false,
             awaiting_table: IndexMap::new(),
--- a/crates/hornbeam_route/src/engine/notices.rs
+++ b/crates/hornbeam_route/src/engine/notices.rs
@@ -88,6 +88,8 @@
         }
         let server = &mut self.servers[in_flight.server];
         server.pause(now + time);
+        self.pauses.retain(|_, (_, until)| *until > now);
+        self.pauses.insert(server.id.clone(), (server.incarnation, now + time));
         let (server, service) = (server.id.clone(), server.service);
         self.timers.push(std::cmp::Reverse((now + time, Timer::PauseEnd(service))));
         out.push(Output::Log(Decision::ServerPaused {
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -65,6 +65,14 @@
         s.slots = slots.max(1);
         s.warm_up_until = now + warm_up;
         s.set_share(share);
+        // A server that lapsed and is announced again still wants its pause.
+        if let Some((paused, until)) = self.pauses.get(&s.id)
+            && *paused == incarnation
+            && now < *until
+            && !s.is_paused(now)
+        {
+            s.pause(*until);
+        }
         if !self.services[position].servers.contains(&idx) {
             self.services[position].servers.push(idx);
         }
--- a/crates/hornbeam_route/tests/notices.rs
+++ b/crates/hornbeam_route/tests/notices.rs
@@ -326,3 +326,19 @@
     harness.step(T + 2 * MS, Input::Servers(vec![successor]));
     send_to(&mut harness, T + 3 * MS, 1_000, "s9");
 }
+
+#[test]
+fn pause_outlasts_lapse() {
+    let mut harness = Harness::new(lookup(), 80);
+    let attempt = send_to(&mut harness, T, 1, "s0");
+    let retry = harness.finish_with_notice(T, attempt, AttemptOutcome::NotRun, pause(2 * SECOND));
+    harness.finish_attempt(T, retry.expect("sent elsewhere"), AttemptOutcome::Answered);
+    let server = "s0".parse().unwrap();
+    let lapsed = ServerChange::Unusable { server, reason: "lapsed" };
+    harness.step(T + MS, Input::Servers(vec![lapsed.clone()]));
+    harness.step(T + 2 * MS, Input::Servers(vec![usable(0, 1)]));
+    assert_avoided(&mut harness, T + 500 * MS, "s0");
+    // A later start knows nothing of the pause.
+    harness.step(T + 600 * MS, Input::Servers(vec![lapsed, usable(0, 2)]));
+    send_to(&mut harness, T + 700 * MS, 1_000, "s0");
+}
