Requests wait for a quarter of their spare time at most before they are refused

Cause: a request was admitted if its expected wait took up to 70 % of the time between mean latency and objective. With 20 shards the slowest counts, so most of those admitted at that limit were late or lost three shards; their work was wasted and their callers came back.

--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -18,7 +18,7 @@
 /// Random increase of the retry delay in percent, so that callers do not retry simultaneously.
 const RETRY_AFTER_JITTER_PERCENT: f64 = 20.0;
 /// Percentage of the spare time (objective less mean latency) that a request may wait for capacity.
-const MAX_WAIT_SPARE_PERCENT: u32 = 70;
+const MAX_WAIT_SPARE_PERCENT: u32 = 25;
 /// Percentage of the objective that a request may wait for capacity even without spare time.
 const MAX_WAIT_FLOOR_PERCENT: u32 = 10;
 
