Entries share the servers in proportion to their demand

Cause: each entry takes an equal part of the attempts at a server, but the balancer hashes callers and zones differ.

Change: entries report their request rate on their feeds, in place of heartbeats; controllers send the sum with the fleet status. An entry's attempts at a server follow its part of the sum; the connections stay within an equal part of what the server accepts, whatever is reported. An entry that has just started has no demand and starts with one attempt.

Controllers have to be updated before entries: old controllers do not know the message.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hornbeam_model::TableVersion;
+use hornbeam_model::{RequestRate, TableVersion};
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::program::next_connection;
 use hornbeam_protocol::FrameKey;
@@ -35,6 +35,8 @@
     Heartbeat(FeedId),
     /// The entry requests the routing table, if there is one later than this version.
     FetchTable(FeedId, TableVersion),
+    /// Rate of the callers' requests at the entry.
+    Demand(FeedId, RequestRate),
     /// The entry reports these servers as unhealthy.
     HealthReports(FeedId, Vec<HealthReport>),
     /// The connection was closed.
@@ -107,6 +109,7 @@
             Ok(FeedUp::Follow(info)) => FeedEvent::Follow(id, info, frames.clone()),
             Ok(FeedUp::FetchTable { have }) => FeedEvent::FetchTable(id, have),
             Ok(FeedUp::HealthReports(reports)) => FeedEvent::HealthReports(id, reports),
+            Ok(FeedUp::Demand(rate)) => FeedEvent::Demand(id, rate),
             Ok(FeedUp::Heartbeat) => FeedEvent::Heartbeat(id),
             Err(e) => {
                 return log::warn!("closed the feed of an entry because of an invalid frame: {e}");
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -14,7 +14,7 @@
 
 use hornbeam_control::{ProposalId, RaftInput, Voter};
 use hornbeam_discovery::{HealthReports, Registry, RegistryParams};
-use hornbeam_model::{InstanceId, Mono};
+use hornbeam_model::{InstanceId, Mono, RequestRate};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::control::net::{Incoming, Net};
 use hornbeam_node::journal::EventLog;
@@ -46,6 +46,8 @@
 struct Feed {
     info: EntryInfo,
     tx: FeedSender,
+    /// Rate of the callers' requests at the entry.
+    demand: RequestRate,
 }
 
 /// All state of a controller.
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeam_discovery::SavedServers;
-use hornbeam_model::{Mono, Zone};
+use hornbeam_model::{Mono, RequestRate, Zone};
 use hornbeam_node::clock::unix_ms;
 use hornbeam_protocol::discovery::{
     ControllerMessage, EntryInfo, FeedChange, FeedDown, FleetStatus, LifeStage,
@@ -129,6 +129,7 @@
             controllers: self.live_controllers(now),
             entries: self.count_entries(now),
             table: self.tables.version(),
+            demand: self.feeds.values().map(|f| f.demand).sum(),
         }
     }
 
@@ -167,7 +168,7 @@
                 let fields = json!({"belief": "entry_follows", "entry": info.entry, "feed": id});
                 self.write_log("entry", false, &fields);
                 self.entry_heard_at.insert(info.entry.clone(), now);
-                self.feeds.insert(id, Feed { info, tx });
+                self.feeds.insert(id, Feed { info, tx, demand: RequestRate::default() });
                 self.feeds_changed = true;
                 let servers = FeedDown::Servers(self.registry.claims());
                 self.send_to(id, &servers);
@@ -179,6 +180,12 @@
                     self.entry_heard_at.insert(feed.info.entry.clone(), now);
                 }
             }
+            FeedEvent::Demand(id, rate) => {
+                if let Some(feed) = self.feeds.get_mut(&id) {
+                    self.entry_heard_at.insert(feed.info.entry.clone(), now);
+                    feed.demand = rate;
+                }
+            }
             FeedEvent::HealthReports(id, reports) => {
                 if let Some(feed) = self.feeds.get(&id) {
                     self.entry_heard_at.insert(feed.info.entry.clone(), now);
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use hornbeam_discovery::{Directory, FeedCounts, ServerUpdate};
-use hornbeam_model::{InstanceId, Mono, Routing, TableVersion};
+use hornbeam_model::{InstanceId, Mono, RequestRate, Routing, TableVersion};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
@@ -45,6 +45,8 @@
     EntryCount(u32),
     /// Number of fresh and known feeds.
     FeedCounts(FeedCounts),
+    /// Rate of the callers' requests at all entries together.
+    FleetDemand(RequestRate),
     /// Health reports of other entries, summarized by a controller.
     PeerReports(Vec<ServerHealthReport>),
     /// All other entries of the same availability zone.
@@ -76,6 +78,8 @@
     reported: bool,
     /// Number of entries that follow the controller.
     entries: u32,
+    /// Rate of the callers' requests at these entries together.
+    demand: RequestRate,
     /// Entries of this entry's zone that follow the controller, this entry included.
     zone_entries: Vec<EntryInfo>,
 }
@@ -97,12 +101,21 @@
     watch: SettingsWatch,
 }
 
+/// What an entry reports about itself and about the servers that it sends to.
+#[derive(Debug)]
+pub struct EntryReport {
+    /// Rate of the callers' requests.
+    pub demand: RequestRate,
+    /// Servers that the entry found unhealthy; an empty list withdraws the previous one.
+    pub health: Vec<HealthReport>,
+}
+
 /// Follows the controllers until the traffic thread has ended. Each message of `reload` causes the
-/// settings file to be read, and each of `health_reports` is sent to all connected controllers.
+/// settings file to be read, and each of `reports` is sent to all connected controllers.
 pub async fn run(
     params: FeedParams,
     mut reload: mpsc::UnboundedReceiver<()>,
-    mut health_reports: mpsc::UnboundedReceiver<Vec<HealthReport>>,
+    mut reports: mpsc::UnboundedReceiver<EntryReport>,
 ) {
     let (events, mut rx) = mpsc::unbounded_channel();
     let mut feeds = ControllerFeeds {
@@ -127,7 +140,7 @@
                 let settings = feeds.watch.reload();
                 feeds.apply_settings(settings);
             }
-            Some(reports) = health_reports.recv() => feeds.send_health_reports(&reports),
+            Some(report) = reports.recv() => feeds.send_report(&report),
             _ = tick.tick() => feeds.tick(),
         }
         if feeds.params.tx.is_closed() {
@@ -165,6 +178,7 @@
             connected: false,
             reported: false,
             entries: 0,
+            demand: RequestRate::default(),
             zone_entries: Vec::new(),
         };
         self.feeds.insert(controller.clone(), feed);
@@ -190,11 +204,15 @@
         let _ = self.params.tx.send(event);
     }
 
-    /// Sends each connected controller this entry's health reports on the servers that it claims.
-    fn send_health_reports(&mut self, reports: &[HealthReport]) {
+    /// Sends each connected controller the demand and the health reports on the servers that it
+    /// claims.
+    fn send_report(&mut self, report: &EntryReport) {
         for (controller, feed) in self.feeds.iter_mut().filter(|(_, f)| f.connected) {
+            // A feed that has just been lost sends the next report once it is reopened.
+            let _ = feed.tx.send(FeedUp::Demand(report.demand));
             let claimed = |r: &&HealthReport| self.directory.is_claimed_by(controller, &r.server);
-            let reports: Vec<HealthReport> = reports.iter().filter(claimed).cloned().collect();
+            let reports: Vec<HealthReport> =
+                report.health.iter().filter(claimed).cloned().collect();
             // An empty list withdraws the previous reports.
             let reported = std::mem::replace(&mut feed.reported, !reports.is_empty());
             if !reports.is_empty() || reported {
@@ -314,11 +332,14 @@
         }
         if let Some(feed) = self.feeds.get_mut(from) {
             feed.entries = status.entries;
+            feed.demand = status.demand;
         }
         let entries = self.feeds.values().map(|f| f.entries).max().unwrap_or(0);
         if entries > 0 {
             self.publish(FeedEvent::EntryCount(entries));
         }
+        let demand = self.feeds.values().map(|f| f.demand).max().unwrap_or_default();
+        self.publish(FeedEvent::FleetDemand(demand));
         let due = self.table_requested_at.is_none_or(|at| now.since(at) >= TABLE_REQUEST_TIMEOUT);
         if status.table > self.table.version && due {
             self.request_table(now, from, self.table.version);
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -23,7 +23,7 @@
 
 use crate::core::{Core, run_timer};
 use crate::dialect::Dialect;
-use crate::feeds::{FeedEvent, FeedParams};
+use crate::feeds::{EntryReport, FeedEvent, FeedParams};
 use crate::front::{Stage, accept};
 use crate::group_exchange::{self, GroupExchange};
 use crate::metrics::Metrics;
@@ -47,7 +47,7 @@
 /// Interval at which a draining entry checks whether all requests and connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval of the health reports about backend servers.
-const HEALTH_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -119,7 +119,7 @@
     let open = Rc::new(Cell::new(0));
     tokio::task::spawn_local(accept(core.clone(), listener, stage, open.clone()));
     tokio::task::spawn_local(run_timer(core.clone()));
-    tokio::task::spawn_local(send_health_reports(core.clone(), reports_tx));
+    tokio::task::spawn_local(send_reports(core.clone(), reports_tx));
     let sweeper = core.clone();
     tokio::task::spawn_local(async move {
         loop {
@@ -156,7 +156,7 @@
 fn start_feeds(
     params: FeedParams,
     reload: mpsc::UnboundedReceiver<()>,
-    reports: mpsc::UnboundedReceiver<Vec<HealthReport>>,
+    reports: mpsc::UnboundedReceiver<EntryReport>,
 ) -> Result<(), ProgramError> {
     let body = move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -174,22 +174,18 @@
     thread.map(drop).context(StartSnafu { what: "the control thread" })
 }
 
-/// Sends the engine's health reports about servers to the control thread at intervals.
-async fn send_health_reports(core: Rc<Core>, tx: mpsc::UnboundedSender<Vec<HealthReport>>) {
-    let mut reported = false;
+/// Sends the engine's demand and its health reports about servers to the control thread at
+/// intervals.
+async fn send_reports(core: Rc<Core>, tx: mpsc::UnboundedSender<EntryReport>) {
     loop {
-        tokio::time::sleep(HEALTH_REPORT_INTERVAL).await;
-        let reports = core.with_engine(|e| e.health_reports(core.clock.now()));
-        // An empty list withdraws the previous reports.
-        if reports.is_empty() && !reported {
-            continue;
-        }
-        reported = !reports.is_empty();
-        let reports = reports.into_iter().map(|r| {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        let now = core.clock.now();
+        let (demand, reports) = core.with_engine(|e| (e.request_rate(now), e.health_reports(now)));
+        let health = reports.into_iter().map(|r| {
             let slowness_tenths = (r.slowness * 10.0).min(f64::from(u16::MAX)) as u16;
             HealthReport { server: r.server, slowness_tenths, unresponsive: r.unresponsive }
         });
-        if tx.send(reports.collect()).is_err() {
+        if tx.send(EntryReport { demand, health: health.collect() }).is_err() {
             return;
         }
     }
@@ -217,6 +213,7 @@
             core.step(Input::Peers(peers));
         }
         FeedEvent::PeerReports(reports) => core.step(Input::PeerHealthReports(reports)),
+        FeedEvent::FleetDemand(rate) => core.step(Input::FleetDemand(rate)),
         FeedEvent::EntryCount(entries) => core.step(Input::EntryCount(entries)),
         FeedEvent::FeedCounts(feeds) => core.on_feed_counts(feeds),
     }
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hit;
 pub mod ids;
 pub mod patience;
+pub mod rate;
 pub mod routing;
 pub mod search;
 pub mod server;
@@ -30,6 +31,7 @@
     Revision, RouteId, SchemaVersion, ServerId, ServiceId, ShardId, TableVersion, Zone,
 };
 pub use patience::{Patience, PatienceWindow};
+pub use rate::RequestRate;
 pub use routing::{
     CallerLimits, Route, RouteIndex, RoutedService, Routing, RoutingDelta, RoutingError, Scatter,
     Target, WeightedService,
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use hornbeam_model::{
-    Incarnation, InstanceId, Routing, RoutingDelta, ServerId, ServiceId, TableVersion, Zone,
+    Incarnation, InstanceId, RequestRate, Routing, RoutingDelta, ServerId, ServiceId, TableVersion,
+    Zone,
 };
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +82,8 @@
     pub entries: u32,
     /// Version of the sender's routing table.
     pub table: TableVersion,
+    /// Rate of the callers' requests at these entries together.
+    pub demand: RequestRate,
 }
 
 /// Name, address and zone of an entry; entries of the same zone delegate groups to each other.
@@ -142,6 +145,8 @@
     HealthReports(Vec<HealthReport>),
     /// Shows that the entry is alive; sent at least every [`FEED_HEARTBEAT_INTERVAL_MS`].
     Heartbeat,
+    /// Rate of the callers' requests at the entry; sent instead of heartbeats.
+    Demand(RequestRate),
 }
 
 /// Longest time between two messages of a feed in either direction, in milliseconds.
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -70,6 +70,7 @@
 
 impl Engine {
     pub(super) fn on_request(&mut self, now: Mono, arrival: Arrival, out: &mut Vec<Output>) {
+        self.demand.record(now);
         let Some(table) = self.table.clone() else {
             return self.await_table(now, arrival, out);
         };
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, InstanceId, QueryId, Route, Routing, ServerId, ServiceId, Zone,
+    AttemptId, Incarnation, InstanceId, QueryId, RequestRate, Route, Routing, ServerId, ServiceId,
+    Zone,
 };
 use smol_str::SmolStr;
 
@@ -115,6 +116,8 @@
     Isolated(bool),
     /// Number of entries that share the retry budget and the connections to servers.
     EntryCount(u32),
+    /// Request rate of all entries together.
+    FleetDemand(RequestRate),
     /// Other entries reported unhealthy servers.
     PeerHealthReports(Vec<ServerHealthReport>),
     /// The other entries of this entry's zone, as a complete list.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -30,7 +30,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, Mono, QueryId, RouteId, RouteIndex, Routing, ServerId, ServiceId,
+    AttemptId, Incarnation, Mono, QueryId, RequestRate, RouteId, RouteIndex, Routing, ServerId,
+    ServiceId,
 };
 use hornbeam_traffic::latency::LatencyWindow;
 use indexmap::IndexMap;
@@ -45,6 +46,7 @@
     Output, ServerChange, ServerHealthReport,
 };
 use crate::decision::AttemptKind;
+use crate::demand::Demand;
 use crate::notice::LeavingServers;
 use crate::peers::Peers;
 use crate::request::{RefusalKind, RunningRequest};
@@ -105,6 +107,7 @@
     /// Positions in `servers` that can be reused.
     free_positions: Vec<usize>,
     entries: u32,
+    demand: Demand,
     requests: HashMap<QueryId, RunningRequest>,
     attempts: HashMap<AttemptId, InFlightAttempt>,
     peers: Peers,
@@ -141,6 +144,7 @@
             awaiting_table: IndexMap::new(),
             free_positions: Vec::new(),
             entries: ASSUMED_ENTRY_COUNT,
+            demand: Demand::default(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             peers: Peers::new(params.name.clone()),
@@ -179,7 +183,7 @@
                 }
             }
             Input::Table(table) => {
-                self.on_table(table, out);
+                self.on_table(now, table, out);
                 self.admit_waiting(now, out);
             }
             Input::Isolated(isolated) => {
@@ -188,7 +192,11 @@
                     self.zones.reset();
                 }
             }
-            Input::EntryCount(entries) => self.on_entry_count(entries),
+            Input::EntryCount(entries) => self.on_entry_count(now, entries),
+            Input::FleetDemand(rate) => {
+                self.demand.set_fleet(rate);
+                self.update_shares(now);
+            }
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
             Input::Peers(peers) => self.peers.replace(peers),
             Input::PeerAlive(peer) => self.restore_peer(&peer, out),
@@ -234,6 +242,11 @@
         unhealthy.collect()
     }
 
+    /// Returns the rate of the callers' requests at this entry.
+    pub fn request_rate(&self, now: Mono) -> RequestRate {
+        self.demand.rate(now)
+    }
+
     /// Returns true if there are servers in other zones, and all these zones are lost.
     pub fn other_zones_lost(&self, now: Mono) -> bool {
         let servers = self.server_names.values().map(|i| &self.servers[*i]);
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -53,7 +53,7 @@
             self.remove_server(&server, "replaced", out);
         }
         let position = self.service_position(&service);
-        let share = self.share_of(position, slots);
+        let share = self.share_of(now, position, slots);
         let idx = match self.server_names.get(&server) {
             Some(idx) => *idx,
             None => self.new_server(Server::new(server.clone(), address, position, share)),
@@ -137,14 +137,18 @@
         self.services.insert_full(service.clone(), new).0
     }
 
-    fn share_of(&self, position: usize, slots: u32) -> u32 {
+    /// Returns the connections that this entry may open to a server with this number of slots: the
+    /// part of its work that corresponds to this entry's part of the requests, but at most an equal
+    /// part of the connections that the server accepts.
+    fn share_of(&self, now: Mono, position: usize, slots: u32) -> u32 {
         let connections = self.services[position].max_connections;
         let share = connections * USABLE_CONNECTIONS_PERCENT / 100 / self.entries.max(1);
-        let work = (slots.max(1) * ATTEMPTS_PER_SLOT).div_ceil(self.entries.max(1));
-        share.min(work).max(1)
+        let part = self.demand.part(now, self.entries);
+        let work = f64::from(slots.max(1) * ATTEMPTS_PER_SLOT) * part;
+        share.min(work.ceil() as u32).max(1)
     }
 
-    pub(super) fn on_table(&mut self, table: Arc<Routing>, out: &mut Vec<Output>) {
+    pub(super) fn on_table(&mut self, now: Mono, table: Arc<Routing>, out: &mut Vec<Output>) {
         if self.table.as_ref().is_some_and(|t| t.version >= table.version) {
             return;
         }
@@ -159,13 +163,13 @@
         let routes = table.routes.len();
         out.push(Output::Log(Decision::TableInForce { table: table.version, routes }));
         self.table = Some(table);
-        self.update_shares();
+        self.update_shares(now);
     }
 
-    pub(super) fn on_entry_count(&mut self, entries: u32) {
+    pub(super) fn on_entry_count(&mut self, now: Mono, entries: u32) {
         if self.entries != entries.max(1) {
             self.entries = entries.max(1);
-            self.update_shares();
+            self.update_shares(now);
         }
     }
 
@@ -177,9 +181,9 @@
         }
     }
 
-    fn update_shares(&mut self) {
+    pub(super) fn update_shares(&mut self, now: Mono) {
         for idx in 0..self.servers.len() {
-            let share = self.share_of(self.servers[idx].service, self.servers[idx].slots);
+            let share = self.share_of(now, self.servers[idx].service, self.servers[idx].slots);
             self.servers[idx].set_share(share);
         }
     }
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod budget;
 pub mod decision;
+mod demand;
 pub mod engine;
 pub mod merge;
 pub mod notice;
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -31,6 +31,8 @@
 /// One-way network latency between two instances.
 const ONE_WAY_LATENCY: Duration = Duration::from_micros(400);
 
+/// Interval in which entries hear the request rate of all entries.
+const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time in which a refusal reaches its caller and the next request reaches an entry.
 const CALLER_LATENCY: Duration = Duration::from_millis(2);
 
@@ -91,6 +93,8 @@
     Wake(usize),
     /// A caller whose request on a route arrived first at this time sends it again.
     CallerReturns(usize, Mono),
+    /// Every entry hears the request rate of all entries.
+    ReportDemand,
     /// A restarted entry hears its controllers.
     Sync(usize),
     /// The message with this number arrives at an entry.
@@ -265,6 +269,11 @@
         Self::in_zones(2, seed, entries, routes, work, copies)
     }
 
+    /// Reports the request rate of all entries to each of them from now on.
+    pub fn report_demand(&mut self) {
+        self.schedule(self.now, Event::ReportDemand);
+    }
+
     /// Creates a world whose entries and copies are spread over this number of zones.
     pub fn in_zones(
         zones: usize,
@@ -519,6 +528,7 @@
             }
             Event::AttemptFinished((entry, _), _, _) => Some(entry),
             Event::Request(_)
+            | Event::ReportDemand
             | Event::CallerReturns(..)
             | Event::Sync(_)
             | Event::AttemptArrival(..)
@@ -548,6 +558,14 @@
                 };
                 self.handle(Event::EntryRequest(route, entry));
             }
+            Event::ReportDemand => {
+                let now = self.now;
+                let total = self.engines.iter().map(|e| e.request_rate(now)).sum();
+                for entry in 0..self.engines.len() {
+                    self.step(entry, Input::FleetDemand(total));
+                }
+                self.schedule(now + DEMAND_REPORT_INTERVAL, Event::ReportDemand);
+            }
             Event::CallerReturns(route, first_arrived) => {
                 let entry = self.rng.random_range(0..self.engines.len());
                 self.returned.insert(QueryId(self.next_key));
