A connection that carried a request is not used for the same request again

Fault reported by operators of similar systems: a second copy of a response, sent late on a connection that is in use again. Copies of responses to other requests are told apart by the echoed id. A copy of a refusal was not: a server that sheds a request, gets it again on the same connection and sends its refusal twice made the entry take the copy for the outcome of the second attempt, which ran. The entry then sent the request elsewhere, or told the caller that it had not run: tests/late_copies copy_of_refusal, 'a request that is not idempotent ran 2 times' before.

Change: a pooled connection knows the id of its last request and is closed instead of carrying that request again. copy_of_other_request (copies split over two packets while the next request is in progress) held before.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -15,6 +15,7 @@
 use hornbeam_route::{Attempt, AttemptOutcome, PauseRequest, ServerNotice};
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap};
+use smol_str::SmolStr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -36,6 +37,8 @@
 struct IdleConnection {
     stream: TcpStream,
     expires_at: Instant,
+    /// Id of the request that the connection carried last.
+    last_request: SmolStr,
 }
 
 impl IdleConnection {
@@ -53,23 +56,26 @@
 }
 
 impl Backends {
-    fn take(&self, server: &ServerId) -> Option<TcpStream> {
+    /// Takes a connection for a request. One that carried the same request last is closed instead: a
+    /// late second copy of its response would have the same id as the response to this attempt.
+    fn take(&self, server: &ServerId, request: &SmolStr) -> Option<TcpStream> {
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(server)?;
         let now = Instant::now();
         while let Some(newest) = idle.pop() {
-            if newest.expires_at > now && newest.is_quiet() {
+            let usable = newest.last_request != *request && newest.expires_at > now;
+            if usable && newest.is_quiet() {
                 return Some(newest.stream);
             }
         }
         None
     }
 
-    fn put(&self, server: &ServerId, stream: TcpStream, idle_timeout: Duration, share: u32) {
+    fn put(&self, server: &ServerId, connection: IdleConnection, share: u32) {
         let mut all = self.idle.borrow_mut();
         let idle = all.entry(server.clone()).or_default();
         if idle.len() < share as usize {
-            idle.push(IdleConnection { stream, expires_at: Instant::now() + idle_timeout });
+            idle.push(connection);
         }
     }
 
@@ -117,7 +123,7 @@
 /// Sends one attempt on an idle or a new connection and reads its response.
 pub async fn exchange(core: &Rc<Core>, attempt: &Attempt, request: &ForwardedRequest) -> Exchange {
     let started_at = Instant::now();
-    let mut reused = core.backends().take(&attempt.server);
+    let mut reused = core.backends().take(&attempt.server, &request.id);
     loop {
         let was_idle = reused.is_some();
         let stream = match reused.take() {
@@ -214,7 +220,10 @@
         && request.body.len() <= MAX_REUSE_BODY_BYTES
         && outcome != AttemptOutcome::WrongServer;
     if reusable && let Some(idle_timeout) = idle_timeout(&response) {
-        core.backends().put(&attempt.server, stream, idle_timeout, attempt.share);
+        let expires_at = Instant::now() + idle_timeout;
+        let last_request = request.id.clone();
+        let connection = IdleConnection { stream, expires_at, last_request };
+        core.backends().put(&attempt.server, connection, attempt.share);
     }
     let counts = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Error);
     Exchange { outcome, notice, response: counts.then_some(response) }
