Departures of servers are saved before they are acknowledged

Fault reported by operators of similar systems: after a restart, a server that had left was in use again. A controller wrote its servers with its next feed heartbeat, up to 400 ms after it had acknowledged a departure. If all programs were killed in between, the restarted controller recalled the server as ready and a restarted entry used it: fleet departed_before_restart, 13 usable servers instead of 12.

--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -92,9 +92,17 @@
     }
 
     pub(super) fn publish_changes(&mut self, changes: Vec<FeedChange>) {
-        if !changes.is_empty() {
-            self.servers_changed = true;
-            self.broadcast(&FeedDown::Changes(changes));
+        if changes.is_empty() {
+            return;
+        }
+        let is_departure =
+            |c: &FeedChange| matches!(c, FeedChange::Claim(c) if c.order.stage != LifeStage::Ready);
+        let any_departed = changes.iter().any(is_departure);
+        self.servers_changed = true;
+        self.broadcast(&FeedDown::Changes(changes));
+        // A restart must not recall a server whose departure was acknowledged.
+        if any_departed {
+            self.save_servers();
         }
     }
 
--- a/crates/hornbeam_entry/tests/late_copies.rs
+++ b/crates/hornbeam_entry/tests/late_copies.rs
@@ -40,7 +40,11 @@
     let engine = Engine::new(EngineParams {
         name: "e0".parse().unwrap(),
         zone: "olomouc".parse().unwrap(),
-        budget: RetryBudgetParams { percent: 2_000, window: Duration::from_secs(1), allowance: 100 },
+        budget: RetryBudgetParams {
+            percent: 2_000,
+            window: Duration::from_secs(1),
+            allowance: 100,
+        },
         delegate_above: 32,
         max_in_flight: 100,
         linger: Duration::from_millis(300),
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -319,3 +319,53 @@
     let line = send_raw(&stage, &request(&head)).await;
     assert!(line.starts_with("HTTP/1.1 200"), "{line}");
 }
+
+/// Value of a metric without labels.
+async fn metric(address: SocketAddr, name: &str) -> Option<u64> {
+    let (_, body) = http(address, "GET", "/metrics", b"", Duration::from_secs(2)).await?;
+    let text = String::from_utf8(body).ok()?;
+    text.lines().find_map(|l| l.strip_prefix(name)?.trim().parse().ok())
+}
+
+/// A server departs, and all programs are killed right after the acknowledgment. The restarted ones
+/// know of it only what the controller has saved.
+#[tokio::test(flavor = "multi_thread")]
+async fn departed_before_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut stage = stage(21, (1, 1), folder.path()).await;
+    let (controller, entry) = (0, stage.fleet.of_kind(ProgramKind::Entry)[0]);
+    let known = stage.servers.len() as u64;
+    let api = stage.fleet.apis()[0];
+    let entry_metrics = SocketAddr::new(stage.fleet.programs[entry].bind, METRICS_PORT);
+    let wait = Duration::from_secs(2);
+    let incarnation = 7;
+    let claim = serde_json::json!({
+        "server": "leaving",
+        "order": {"incarnation": incarnation, "stage": "ready", "seq": 1},
+        "offer": {
+            "service": "lookup", "address": "127.0.21.200:1", "zone": "olomouc", "slots": 1,
+            "warm_up_ms": 0,
+        },
+    });
+    let claim = serde_json::to_vec(&claim).unwrap();
+    let beat = http(api, "POST", "/v1/servers/leaving/heartbeat", &claim, wait).await;
+    assert_eq!(beat.map(|(status, _)| status), Some(200));
+    // The controller saves its servers with its next feed heartbeat.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let usable = "hornbeam_entry_usable_servers";
+    assert_eq!(metric(entry_metrics, usable).await, Some(known + 1));
+
+    let body = format!("{{\"incarnation\": {incarnation}}}");
+    let departed = http(api, "POST", "/v1/servers/leaving/depart", body.as_bytes(), wait).await;
+    assert_eq!(departed.map(|(status, _)| status), Some(200));
+    stage.fleet.programs[controller].kill().await;
+    stage.fleet.programs[entry].kill().await;
+    stage.fleet.start_program(controller, false).unwrap();
+    stage.fleet.start_program(entry, false).unwrap();
+    let mut most = 0;
+    for _ in 0..100 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        most = most.max(metric(entry_metrics, usable).await.unwrap_or_default());
+    }
+    assert_eq!(most, known, "the departed server is in use again");
+}
