--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -70,10 +70,10 @@
 
 impl Engine {
     pub(super) fn on_request(&mut self, now: Mono, arrival: Arrival, out: &mut Vec<Output>) {
-        self.demand.record(now);
         let Some(table) = self.table.clone() else {
             return self.await_table(now, arrival, out);
         };
+        self.demand.record(now);
         let Some(route) = self.index.find(&arrival.host, &arrival.path).cloned() else {
             return self.refuse_on_arrival(now, arrival, None, RefusalKind::NoRoute, None, out);
         };
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -53,7 +53,8 @@
             self.remove_server(&server, "replaced", out);
         }
         let position = self.service_position(&service);
-        let share = self.share_of(now, position, slots);
+        let part = self.demand.part(now, self.entries);
+        let share = self.share_of(position, slots, part);
         let idx = match self.server_names.get(&server) {
             Some(idx) => *idx,
             None => self.new_server(Server::new(server.clone(), address, position, share)),
@@ -137,13 +138,12 @@
         self.services.insert_full(service.clone(), new).0
     }
 
-    /// Returns the connections that this entry may open to a server with this number of slots: the
-    /// part of its work that corresponds to this entry's part of the requests, but at most an equal
-    /// part of the connections that the server accepts.
-    fn share_of(&self, now: Mono, position: usize, slots: u32) -> u32 {
+    /// Returns the connections that this entry may open to a server with this number of slots: its
+    /// `part` of the attempts at the server, but at most an equal part of the connections that the
+    /// server accepts.
+    fn share_of(&self, position: usize, slots: u32, part: f64) -> u32 {
         let connections = self.services[position].max_connections;
         let share = connections * USABLE_CONNECTIONS_PERCENT / 100 / self.entries.max(1);
-        let part = self.demand.part(now, self.entries);
         let work = f64::from(slots.max(1) * ATTEMPTS_PER_SLOT) * part;
         share.min(work.ceil() as u32).max(1)
     }
@@ -182,8 +182,9 @@
     }
 
     pub(super) fn update_shares(&mut self, now: Mono) {
+        let part = self.demand.part(now, self.entries);
         for idx in 0..self.servers.len() {
-            let share = self.share_of(now, self.servers[idx].service, self.servers[idx].slots);
+            let share = self.share_of(self.servers[idx].service, self.servers[idx].slots, part);
             self.servers[idx].set_share(share);
         }
     }
