--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -338,6 +338,7 @@
         if entries > 0 {
             self.publish(FeedEvent::EntryCount(entries));
         }
+        // Too high a rate, as a lost feed may have reported, only lowers this entry's part.
         let demand = self.feeds.values().map(|f| f.demand).max().unwrap_or_default();
         self.publish(FeedEvent::FleetDemand(demand));
         let due = self.table_requested_at.is_none_or(|at| now.since(at) >= TABLE_REQUEST_TIMEOUT);
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`shards`]: sets of shards as sorted inclusive ranges
 //! - [`server`]: announcements of backend servers
 //! - [`hit`]: search hits and their ranking
+//! - [`rate`]: request rates
 //! - [`routing`]: routing table, its validation and route lookup
 //! - [`search`]: request and reply bodies of backend servers
 //! - [`config`]: replicated configuration and its validation
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -4,6 +4,7 @@
 //! of an index, whose responses are merged. This crate does no I/O.
 //!
 //! - [`budget`]: limit on hedges and retries per service
+//! - `demand`: request rate of this entry and its part of that of all entries
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
 //! - [`request`]: state of one running request
