The demo takes ports that no outgoing connection can get

Cause: the demo bound a port assigned by the system, gave it back and had its programs bind it later. Such ports come from the range of outgoing connections, so one of these could take it in between.

Change: a free port below that range, checked for TCP and UDP. No test of its own: demo_runs is the one that failed.

--- a/crates/hornbeamrun/src/demo.rs
+++ b/crates/hornbeamrun/src/demo.rs
@@ -6,7 +6,7 @@
 //! search and the timeline of all events.
 
 use hornbeam_events::{out, outln};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,9 @@
 const OPERATOR_TOKEN: &str = "demo token of no value";
 const SHARD_COUNT: u32 = 24;
 const SERVER_COUNT: u32 = 12;
+/// Ports of the demo, below those that the system assigns to outgoing connections.
+const DEMO_PORTS: std::ops::Range<u16> = 10_000..30_000;
+const MAX_PORT_TRIES: usize = 50;
 const REPLICA_COUNT: u32 = 2;
 const OLD_INDEX: IndexVersion = IndexVersion(7);
 const NEW_INDEX: IndexVersion = IndexVersion(8);
@@ -84,9 +87,20 @@
     Ok(())
 }
 
+/// Returns a loopback address whose port is free for TCP and UDP.
+///
+/// The port is below the range from which the system assigns ports to outgoing connections, since
+/// one of these could take it before the demo binds it.
 pub fn free_address() -> Result<SocketAddr, DemoError> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(error_text)?;
-    listener.local_addr().map_err(error_text)
+    let mut last_error = None;
+    for _ in 0..MAX_PORT_TRIES {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(DEMO_PORTS)));
+        match TcpListener::bind(address).and_then(|_| UdpSocket::bind(address)) {
+            Ok(_) => return Ok(address),
+            Err(e) => last_error = Some(e),
+        }
+    }
+    Err(error_text(last_error.expect("at least one port was tried")))
 }
 
 fn service() -> Service {
