--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -1,8 +1,12 @@
-//! Delegation of shard groups to other entries, for searches over many shards.
+//! Delegation of shard groups to other entries.
 //!
-//! Sending to every shard takes one entry longer than a short objective allows. The origin entry
-//! delegates groups of shards to other entries of its zone, which send, hedge and merge in
+//! Sending to very many shards takes one entry longer than a short objective allows. The origin
+//! entry delegates groups of shards to other entries of its zone, which send, hedge and merge in
 //! parallel.
+//!
+//! Load pattern: many entries share servers with few slots, and none of them sees the queues that
+//! their attempts make. Each group then has one owner in the zone, which gathers it for all entries.
+//! Replayed in `tests/shared_servers`.
 
 use std::time::Duration;
 
