Entries share the rate that a server states

Cause: no field of a response carried the rate to the engine; every entry went on as before. Class: a limit of a server that no process knows, and that would not hold either if each process applied it by itself. Change: an entry adopts the rate from the response that states it, and each send takes a token of this entry's part: first attempts, queued shards, hedges, retries and probes, for callers and for groups. The part follows the demand for the server's service, which entries report to the controllers that hear the server and controllers add up; a tenth is divided equally, so that a new entry can begin, and without reports all parts are equal. Statements are ordered by incarnation and a version that grows with each observed change, so that late and doubled reports change nothing; a new entry or controller gets them with its feed. An entry whose part is used up refuses at once and says when its next token comes. A response to a request that ran and states no rate withdraws it.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hornbeam_model::{RequestRate, TableVersion};
+use hornbeam_model::{RateReport, RequestRate, TableVersion};
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::program::next_connection;
 use hornbeam_protocol::FrameKey;
@@ -39,6 +39,8 @@
     Demand(FeedId, RequestRate),
     /// The entry reports these servers as unhealthy.
     HealthReports(FeedId, Vec<HealthReport>),
+    /// The entry reports the rates that these servers state.
+    RateReports(FeedId, Vec<RateReport>),
     /// The connection was closed.
     Closed(FeedId),
 }
@@ -109,6 +111,7 @@
             Ok(FeedUp::Follow(info)) => FeedEvent::Follow(id, info, frames.clone()),
             Ok(FeedUp::FetchTable { have }) => FeedEvent::FetchTable(id, have),
             Ok(FeedUp::HealthReports(reports)) => FeedEvent::HealthReports(id, reports),
+            Ok(FeedUp::RateReports(reports)) => FeedEvent::RateReports(id, reports),
             Ok(FeedUp::Demand(rate)) => FeedEvent::Demand(id, rate),
             Ok(FeedUp::Heartbeat) => FeedEvent::Heartbeat(id),
             Err(e) => {
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use hornbeam_control::{ProposalId, RaftInput, Voter};
-use hornbeam_discovery::{HealthReports, Registry, RegistryParams};
+use hornbeam_discovery::{HealthReports, RateReports, Registry, RegistryParams};
 use hornbeam_model::{InstanceId, Mono, RequestRate};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::control::net::{Incoming, Net};
@@ -68,6 +68,7 @@
     /// True if the registry has changed since it was saved.
     servers_changed: bool,
     health_reports: HealthReports,
+    rate_reports: RateReports,
     /// `None` without a data folder and while the disk cannot be used.
     voter: Option<Voter>,
     reopen_at: Mono,
@@ -147,6 +148,7 @@
             server_file: None,
             servers_changed: false,
             health_reports: HealthReports::default(),
+            rate_reports: RateReports::default(),
             voter: None,
             reopen_at: now,
             tables: RecentTables::default(),
@@ -235,6 +237,9 @@
             if !reports.is_empty() {
                 self.broadcast(&FeedDown::HealthReports(reports));
             }
+            for reports in self.rate_summary(now) {
+                self.broadcast(&reports);
+            }
             self.update_metrics(now);
         }
         if let Some(settings) = self.settings_watch.poll(now) {
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -18,6 +18,8 @@
 use crate::feed::{FeedEvent, FeedId};
 use crate::server_file::ServerFile;
 
+/// Maximum number of servers in one message about stated rates.
+const MAX_RATE_REPORTS: usize = 500;
 /// Time since the last message after which an entry no longer counts; longer than a restart.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(15);
 
@@ -141,6 +143,12 @@
         }
     }
 
+    /// Returns the messages about the rates that servers state; none if no server does.
+    pub(super) fn rate_summary(&mut self, now: Mono) -> Vec<FeedDown> {
+        let reports = self.rate_reports.summary(now);
+        reports.chunks(MAX_RATE_REPORTS).map(|c| FeedDown::RateReports(c.to_vec())).collect()
+    }
+
     pub(super) fn count_entries(&self, now: Mono) -> u32 {
         self.entry_heard_at.values().filter(|at| now.since(**at) < ENTRY_EXPIRY).count() as u32
     }
@@ -182,6 +190,9 @@
                 self.send_to(id, &servers);
                 let fleet_status = FeedDown::FleetStatus(self.fleet_status());
                 self.send_to(id, &fleet_status);
+                for reports in self.rate_summary(now) {
+                    self.send_to(id, &reports);
+                }
             }
             FeedEvent::Heartbeat(id) => {
                 if let Some(feed) = self.feeds.get(&id) {
@@ -200,6 +211,12 @@
                     self.health_reports.record(now, feed.info.entry.clone(), reports);
                 }
             }
+            FeedEvent::RateReports(id, reports) => {
+                if let Some(feed) = self.feeds.get(&id) {
+                    self.entry_heard_at.insert(feed.info.entry.clone(), now);
+                    self.rate_reports.record(now, &feed.info.entry, reports);
+                }
+            }
             FeedEvent::FetchTable(id, have) => {
                 if let Some(update) = self.tables.update_from(have) {
                     self.send_to(id, &update);
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`directory`]: the feeds of all controllers, merged at one entry
 //! - [`initial_sync`]: whether an entry has received the controllers' state after its start
 //! - [`health_reports`]: health reports of entries about servers, aggregated at a controller
+//! - [`rate_reports`]: rates that servers state, and the demand for them, aggregated at a controller
 
 pub mod directory;
 pub mod health_reports;
 pub mod initial_sync;
 pub mod isolation;
+pub mod rate_reports;
 pub mod registry;
 pub mod saved_servers;
 
@@ -20,5 +22,6 @@
 pub use health_reports::HealthReports;
 pub use initial_sync::InitialSync;
 pub use isolation::{FeedCounts, Isolation, ServerReach};
+pub use rate_reports::RateReports;
 pub use registry::{Registry, RegistryParams};
 pub use saved_servers::SavedServers;
--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hornbeam_model::ServerId;
-use hornbeam_route::{Attempt, AttemptOutcome, PauseRequest, ServerNotice};
+use hornbeam_model::{RequestRate, ServerId};
+use hornbeam_route::{Attempt, AttemptOutcome, PauseRequest, RateNotice, ServerNotice};
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap};
 use smol_str::SmolStr;
@@ -239,7 +239,15 @@
     let refuses =
         matches!(response.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
     let retry_after = response.header(&header::RETRY_AFTER).filter(|_| refuses);
-    ServerNotice { leaving, pause: retry_after.map(parse_pause) }
+    let rate = response.header(&dialect.rate_limit).map_or(RateNotice::Unstated, parse_rate);
+    ServerNotice { leaving, pause: retry_after.map(parse_pause), rate }
+}
+
+/// Parses the rate that a server states: requests per second, possibly with a fraction.
+fn parse_rate(value: &[u8]) -> RateNotice {
+    let per_second = std::str::from_utf8(value).ok().and_then(|v| v.trim().parse().ok());
+    let rate = per_second.and_then(RequestRate::from_per_second);
+    rate.map_or(RateNotice::Unreadable, RateNotice::Stated)
 }
 
 /// Parses the value of a server's `Retry-After`: seconds, possibly with a fraction.
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
-use hornbeam_model::{AttemptId, Mono, QueryId};
+use hornbeam_model::{AttemptId, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{
@@ -154,6 +154,11 @@
         f(&self.engine.borrow())
     }
 
+    /// Returns the rates that servers state, with the demand for each at this entry.
+    pub fn rate_reports(&self) -> Vec<RateReport> {
+        self.engine.borrow_mut().rate_reports(self.clock.now())
+    }
+
     /// Returns the pool of connections to backend servers.
     pub fn backends(&self) -> &Backends {
         &self.backends
@@ -374,6 +379,15 @@
                 self.metrics.notices.with_label_values(&["pause"]).inc();
                 "server_paused"
             }
+            Decision::ServerRate { rate, .. } => {
+                let label = if rate.is_some() { "rate" } else { "rate_withdrawn" };
+                self.metrics.notices.with_label_values(&[label]).inc();
+                "server_rate"
+            }
+            Decision::RateIgnored { .. } => {
+                self.metrics.notices.with_label_values(&["unreadable"]).inc();
+                "rate_ignored"
+            }
             Decision::PauseIgnored { .. } => {
                 self.metrics.notices.with_label_values(&["unreadable"]).inc();
                 "pause_ignored"
--- a/crates/hornbeam_entry/src/dialect.rs
+++ b/crates/hornbeam_entry/src/dialect.rs
@@ -18,6 +18,9 @@
     pub not_run: HeaderName,
     /// Header by which a server states in its responses that it is leaving.
     pub leaving: HeaderName,
+    /// Header by which a server states the requests a second that it accepts from all entries
+    /// together: a decimal number.
+    pub rate_limit: HeaderName,
     /// Header with a server's signature of its response.
     pub signature: HeaderName,
     /// Header with the signatures of the shard responses that a merged response includes.
@@ -36,6 +39,7 @@
             expected_server: HeaderName::from_static("hornbeam-expected-server"),
             not_run: HeaderName::from_static("hornbeam-not-run"),
             leaving: HeaderName::from_static("hornbeam-leaving"),
+            rate_limit: HeaderName::from_static("hornbeam-rate-limit"),
             signature: HeaderName::from_static("hornbeam-signature"),
             shard_signatures: HeaderName::from_static("hornbeam-part-signatures"),
             missing_shards: HeaderName::from_static("hornbeam-lacking-shards"),
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use hornbeam_discovery::{Directory, FeedCounts, ServerUpdate};
-use hornbeam_model::{InstanceId, Mono, RequestRate, Routing, TableVersion};
+use hornbeam_model::{InstanceId, Mono, RateReport, RequestRate, Routing, TableVersion};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
@@ -33,6 +33,8 @@
 /// Time without a message after which an entry no longer follows a controller that is neither a
 /// seed nor named by another controller.
 const CONTROLLER_TTL: Duration = Duration::from_secs(30);
+/// Maximum number of servers in one message about stated rates.
+const MAX_RATE_REPORTS: usize = 500;
 
 /// An update for the traffic thread.
 #[derive(Debug)]
@@ -49,6 +51,8 @@
     FleetDemand(RequestRate),
     /// Health reports of other entries, summarized by a controller.
     PeerReports(Vec<ServerHealthReport>),
+    /// Rates that servers state, summarized by a controller.
+    RateReports(Vec<RateReport>),
     /// All other entries of the same availability zone.
     Peers(Vec<Peer>),
 }
@@ -108,6 +112,8 @@
     pub demand: RequestRate,
     /// Servers that the entry found unhealthy; an empty list withdraws the previous one.
     pub health: Vec<HealthReport>,
+    /// Rates that servers state, with the demand at the entry.
+    pub rates: Vec<RateReport>,
 }
 
 /// Follows the controllers until the traffic thread has ended. Each message of `reload` causes the
@@ -204,8 +210,7 @@
         let _ = self.params.tx.send(event);
     }
 
-    /// Sends each connected controller the demand and the health reports on the servers that it
-    /// claims.
+    /// Sends each connected controller the demand, and the reports on the servers that it claims.
     fn send_report(&mut self, report: &EntryReport) {
         for (controller, feed) in self.feeds.iter_mut().filter(|(_, f)| f.connected) {
             // A feed that has just been lost sends the next report once it is reopened.
@@ -219,6 +224,13 @@
                 // A feed that has just been lost sends them once it is reopened.
                 let _ = feed.tx.send(FeedUp::HealthReports(reports));
             }
+            let claimed =
+                |r: &&RateReport| self.directory.is_claimed_by(controller, &r.statement.server);
+            let rates: Vec<RateReport> = report.rates.iter().filter(claimed).cloned().collect();
+            for rates in rates.chunks(MAX_RATE_REPORTS) {
+                // A feed that has just been lost sends them once it is reopened.
+                let _ = feed.tx.send(FeedUp::RateReports(rates.to_vec()));
+            }
         }
     }
 
@@ -270,6 +282,7 @@
                 None => self.request_table(now, from, TableVersion(0)),
             },
             FeedDown::Table(table) => self.on_table((*table).clone()),
+            FeedDown::RateReports(reports) => self.publish(FeedEvent::RateReports(reports)),
             FeedDown::Entries(entries) => self.on_entries(from, entries),
             FeedDown::HealthReports(reports) => {
                 let reports = reports.into_iter();
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -181,11 +181,12 @@
         tokio::time::sleep(REPORT_INTERVAL).await;
         let now = core.clock.now();
         let (demand, reports) = core.with_engine(|e| (e.request_rate(now), e.health_reports(now)));
+        let rates = core.rate_reports();
         let health = reports.into_iter().map(|r| {
             let slowness_tenths = (r.slowness * 10.0).min(f64::from(u16::MAX)) as u16;
             HealthReport { server: r.server, slowness_tenths, unresponsive: r.unresponsive }
         });
-        if tx.send(EntryReport { demand, health: health.collect() }).is_err() {
+        if tx.send(EntryReport { demand, health: health.collect(), rates }).is_err() {
             return;
         }
     }
@@ -213,6 +214,7 @@
             core.step(Input::Peers(peers));
         }
         FeedEvent::PeerReports(reports) => core.step(Input::PeerHealthReports(reports)),
+        FeedEvent::RateReports(reports) => core.step(Input::RateReports(reports)),
         FeedEvent::FleetDemand(rate) => core.step(Input::FleetDemand(rate)),
         FeedEvent::EntryCount(entries) => core.step(Input::EntryCount(entries)),
         FeedEvent::FeedCounts(feeds) => core.on_feed_counts(feeds),
--- a/crates/hornbeam_entry/tests/server_limits.rs
+++ b/crates/hornbeam_entry/tests/server_limits.rs
@@ -19,7 +19,6 @@
 
 /// The server would get a request every 20 ms, ten times what it states in each response.
 #[test]
-#[ignore = "known red"]
 fn stated_rate_exceeded() {
     run_local(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -32,7 +31,7 @@
                 tokio::task::spawn_local(async move {
                     while let Some(id) = read_request(&mut stream).await {
                         counted.set(counted.get() + 1);
-                        let limit = format!("\r\nhornbeam-server-limit: {RATE}\r\ncontent-length");
+                        let limit = format!("\r\nhornbeam-rate-limit: {RATE}\r\ncontent-length");
                         let text = response(&id, "x").replacen("\r\ncontent-length", &limit, 1);
                         stream.write_all(text.as_bytes()).await.unwrap();
                     }
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`server`]: announcements of backend servers
 //! - [`hit`]: search hits and their ranking
 //! - [`rate`]: request rates
+//! - [`rate_limit`]: rates that backend servers state that they accept
 //! - [`routing`]: routing table, its validation and route lookup
 //! - [`search`]: request and reply bodies of backend servers
 //! - [`config`]: replicated configuration and its validation
@@ -18,6 +19,7 @@
 pub mod ids;
 pub mod patience;
 pub mod rate;
+pub mod rate_limit;
 pub mod routing;
 pub mod search;
 pub mod server;
@@ -33,6 +35,7 @@
 };
 pub use patience::{Patience, PatienceWindow};
 pub use rate::RequestRate;
+pub use rate_limit::{RateReport, RateStatement};
 pub use routing::{
     CallerLimits, Route, RouteIndex, RoutedService, Routing, RoutingDelta, RoutingError, Scatter,
     Target, WeightedService,
--- a/crates/hornbeam_model/src/rate.rs
+++ b/crates/hornbeam_model/src/rate.rs
@@ -14,6 +14,19 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestRate(pub u64);
 
+impl RequestRate {
+    /// Returns the rate for a number of requests per second, rounded to thousandths; `None` unless it
+    /// is finite and not negative.
+    pub fn from_per_second(rate: f64) -> Option<Self> {
+        (rate.is_finite() && rate >= 0.0).then(|| Self((rate * 1e3).round() as u64))
+    }
+
+    /// Returns the requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+}
+
 impl fmt::Display for RequestRate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use hornbeam_model::{
-    Incarnation, InstanceId, RequestRate, Routing, RoutingDelta, ServerId, ServiceId, TableVersion,
-    Zone,
+    Incarnation, InstanceId, RateReport, RequestRate, Routing, RoutingDelta, ServerId, ServiceId,
+    TableVersion, Zone,
 };
 use serde::{Deserialize, Serialize};
 
@@ -128,6 +128,9 @@
     /// Servers that several entries report as unhealthy, with one summarized report per server. At
     /// least half of these entries report the same slowness or a higher one.
     HealthReports(Vec<HealthReport>),
+    /// Rates that servers state, with the demand at all entries together; sent at each
+    /// [`FEED_HEARTBEAT_INTERVAL_MS`] and at the start of a feed.
+    RateReports(Vec<RateReport>),
 }
 
 /// Messages of a feed from an entry to a controller.
@@ -147,6 +150,9 @@
     Heartbeat,
     /// Rate of the callers' requests at the entry; sent instead of heartbeats.
     Demand(RequestRate),
+    /// Rates that servers state, with the demand at the entry. Replaces its previous report on each of
+    /// these servers.
+    RateReports(Vec<RateReport>),
 }
 
 /// Longest time between two messages of a feed in either direction, in milliseconds.
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -1,6 +1,8 @@
 //! Routing decisions and their reasons, as written to the decision log.
 
-use hornbeam_model::{AttemptId, InstanceId, RouteId, ServerId, ServiceId, TableVersion};
+use hornbeam_model::{
+    AttemptId, InstanceId, RequestRate, RouteId, ServerId, ServiceId, TableVersion,
+};
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -170,6 +172,11 @@
     /// A server asked for a pause of a time that cannot be read; the refusal counts as load
     /// shedding only.
     PauseIgnored { request: SmolStr, server: ServerId },
+    /// A server states another rate of requests that it accepts from all entries together, or none
+    /// any more. `entries` share it.
+    ServerRate { server: ServerId, service: ServiceId, rate: Option<RequestRate>, entries: u32 },
+    /// A server stated a rate that cannot be read; what it stated before holds.
+    RateIgnored { request: SmolStr, server: ServerId },
     /// A server became usable, changed or became unusable.
     ServerChanged { server: ServerId, service: ServiceId, usable: bool, why: &'static str },
     /// A routing table is in force.
@@ -190,6 +197,7 @@
                 | Self::ServerPaused { .. }
                 | Self::ZoneUnreachable { .. }
                 | Self::PauseIgnored { .. }
+                | Self::RateIgnored { .. }
                 | Self::GroupFailed { .. }
                 | Self::PeerSuspected { .. }
         ) || matches!(self, Self::Answered { missing, .. } | Self::Gathered { missing, .. } if *missing > 0)
--- a/crates/hornbeam_route/src/demand.rs
+++ b/crates/hornbeam_route/src/demand.rs
@@ -4,19 +4,14 @@
 //! the requests of another. With equal parts of the servers it refuses requests for load while the
 //! others have capacity left. Replayed in `tests/demand`.
 
-use std::time::Duration;
-
 use hornbeam_model::{Mono, RequestRate};
 
-/// Time in which the weight of a request in the rate falls to one half.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+use crate::rate_meter::RateMeter;
 
 /// Request rate of one entry, and the latest one reported for all entries together.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
-    /// Requests weighted by age, as of `updated_at`.
-    weighted: f64,
-    updated_at: Mono,
+    own: RateMeter,
     /// Rate of all entries; zero until it is received.
     fleet: RequestRate,
 }
@@ -24,8 +19,7 @@
 impl Demand {
     /// Records a request of a caller.
     pub fn record(&mut self, now: Mono) {
-        self.weighted = self.weighted_at(now) + 1.0;
-        self.updated_at = now;
+        self.own.record(now);
     }
 
     /// Sets the rate of all entries together.
@@ -35,8 +29,7 @@
 
     /// Returns the rate of this entry.
     pub fn rate(&self, now: Mono) -> RequestRate {
-        let per_second = self.weighted_at(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
-        RequestRate((per_second * 1e3).round() as u64)
+        self.own.rate(now)
     }
 
     /// Returns this entry's part of all requests, between 0 and 1. An equal part of `entries` until
@@ -47,9 +40,4 @@
         }
         (self.rate(now).0 as f64 / self.fleet.0 as f64).min(1.0)
     }
-
-    fn weighted_at(&self, now: Mono) -> f64 {
-        let age = now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.weighted * 0.5_f64.powf(age)
-    }
 }
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -81,13 +81,15 @@
         let delegates = self.should_delegate(&route, &services);
         // Delegated shards count toward the retry budget of the entries that send them.
         for service in services.iter().filter(|_| !delegates) {
-            self.services[*service].retry_budget.record_request(now);
+            self.services[*service].record_request(now);
         }
         let min_shards = match &route.target {
             Target::Scatter(scatter) => scatter.min_shards(),
             Target::Single(_) | Target::Split(_) => 1,
         };
-        if let Some((kind, wait)) = self.admission_refusal(now, &route, &services, min_shards) {
+        if let Some((kind, wait)) =
+            self.admission_refusal(now, &route, &services, min_shards, delegates)
+        {
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
         let timeout = route.timeout();
@@ -137,11 +139,12 @@
         route: &Route,
         services: &[usize],
         min_shards: usize,
+        delegates: bool,
     ) -> Option<(RefusalKind, Option<Duration>)> {
         if self.requests.len() >= self.params.max_in_flight {
             return Some((RefusalKind::Overloaded, None));
         }
-        let prospects = self.prospects(now, route, services);
+        let prospects = self.prospects(now, route, services, delegates);
         if prospects.reachable() < min_shards {
             return Some((RefusalKind::NoServer, prospects.time_until(min_shards)));
         }
@@ -151,8 +154,16 @@
         None
     }
 
-    /// Estimates when each service of a route has capacity for a request that arrives now.
-    pub(super) fn prospects(&self, now: Mono, route: &Route, services: &[usize]) -> Prospects {
+    /// Estimates when each service of a route has capacity for a request that arrives now. The
+    /// stated rates of servers bound what this entry sends itself, so they are left out for a
+    /// request that it delegates.
+    pub(super) fn prospects(
+        &self,
+        now: Mono,
+        route: &Route,
+        services: &[usize],
+        delegates: bool,
+    ) -> Prospects {
         let mut prospects = Prospects::default();
         for position in services {
             let service = &self.services[*position];
@@ -164,7 +175,10 @@
                 continue;
             }
             let wait = self.expected_wait(now, *position, route.priority);
-            let wait = wait.max(service.reported_wait(now));
+            let mut wait = wait.max(service.reported_wait(now));
+            if !delegates {
+                wait = wait.max(self.expected_rate_wait(now, *position, route.priority));
+            }
             if wait <= max_wait(route, service.mean_latency()) {
                 prospects.in_time += 1;
             } else {
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -29,6 +29,7 @@
         self.record_attempt_end(in_flight.server, attempt);
         self.record_outcome(now, &in_flight, outcome, out);
         self.apply_notice(now, &in_flight, notice, out);
+        self.record_stated_rate(now, &in_flight, outcome, notice.rate, out);
         let service = self.servers[in_flight.server].service;
         match in_flight.request {
             Some(key) => self.apply_outcome(now, key, &in_flight, attempt, outcome, out),
@@ -205,6 +206,7 @@
                     self.services[progress.service].retry_budget.refund(now);
                 }
                 progress.deliveries -= 1;
+                self.refund_rate(in_flight.server);
             }
             AttemptOutcome::Error => {
                 out.extend(progress.error_response.replace(attempt).map(Output::Discard))
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -126,7 +126,8 @@
         let Some(running) = self.remove_request(now, key, out) else { return };
         discard_all(&running, out);
         let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
-        let prospects = self.prospects(now, &running.route, &services);
+        let delegates = !running.groups.is_empty();
+        let prospects = self.prospects(now, &running.route, &services, delegates);
         let wait = prospects.time_until(running.min_shards);
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
         self.log_refusal(now, &running, kind, Some(refusal), out);
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -109,7 +109,7 @@
     fn send_own_group(&mut self, now: Mono, key: QueryId, shards: &[usize], out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
         for shard in shards {
-            self.services[running.shards[*shard].service].retry_budget.record_request(now);
+            self.services[running.shards[*shard].service].record_request(now);
         }
         self.place_shards(now, key, shards, out);
     }
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -42,7 +42,7 @@
         let names = scatter.shards.clone();
         let services: Vec<usize> = names.iter().map(|name| self.service_position(name)).collect();
         for service in &services {
-            self.services[*service].retry_budget.record_request(now);
+            self.services[*service].record_request(now);
         }
         let key = group.key;
         let running = RunningRequest {
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, InstanceId, QueryId, RequestRate, Route, Routing, ServerId, ServiceId,
-    Zone,
+    AttemptId, Incarnation, InstanceId, QueryId, RateReport, RequestRate, Route, Routing, ServerId,
+    ServiceId, Zone,
 };
 use smol_str::SmolStr;
 
@@ -120,6 +120,8 @@
     FleetDemand(RequestRate),
     /// Other entries reported unhealthy servers.
     PeerHealthReports(Vec<ServerHealthReport>),
+    /// A controller reported the rates that servers state, with the demand at all entries together.
+    RateReports(Vec<RateReport>),
     /// The other entries of this entry's zone, as a complete list.
     Peers(Vec<Peer>),
     /// A message from another entry arrived.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! - [`placement`]: choice of a server for each shard, and the queue for capacity
 //! - [`attempts`]: outcomes of attempts, and retries
 //! - [`notices`]: servers that leave or ask for a pause in their responses
+//! - [`rates`]: servers that state the rate of requests that they accept
 //! - [`hedging`]: hedged requests for late shards
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
@@ -21,6 +22,7 @@
 mod messages;
 mod notices;
 mod placement;
+mod rates;
 mod servers;
 mod startup;
 
@@ -49,6 +51,7 @@
 use crate::demand::Demand;
 use crate::notice::LeavingServers;
 use crate::peers::Peers;
+use crate::rate_limit::RateLimits;
 use crate::request::{RefusalKind, RunningRequest};
 use crate::server::Server;
 use crate::service::Service;
@@ -78,8 +81,9 @@
     AwaitTable(QueryId),
     /// The zone at this position has been silent since it was suspected to be unreachable.
     ConfirmZone(usize),
-    /// A server of the service with this position has finished its pause.
-    PauseEnd(usize),
+    /// A server of the service with this position has finished its pause or accepts another request
+    /// within its rate.
+    ServerAvailable(usize),
 }
 
 /// State machine of all requests of one entry.
@@ -99,6 +103,7 @@
     leaving: LeavingServers,
     /// Ends of the pauses that servers asked for, also of servers that are not known meanwhile.
     pauses: HashMap<ServerId, (Incarnation, Mono)>,
+    rate_limits: RateLimits,
     zones: ZoneReachability,
     /// True while this entry is isolated and other entries serve callers better.
     isolated: bool,
@@ -139,6 +144,7 @@
             server_names: HashMap::new(),
             leaving: LeavingServers::default(),
             pauses: HashMap::new(),
+            rate_limits: RateLimits::default(),
             zones: ZoneReachability::default(),
             isolated: false,
             awaiting_table: IndexMap::new(),
@@ -198,6 +204,7 @@
                 self.update_shares(now);
             }
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
+            Input::RateReports(reports) => self.on_rate_reports(now, reports, out),
             Input::Peers(peers) => self.peers.replace(peers),
             Input::PeerAlive(peer) => self.restore_peer(&peer, out),
             Input::PeerLeaving(peer) => self.suspect_peer(now, &peer, out),
@@ -280,7 +287,7 @@
                 }
                 Timer::ConfirmZone(zone) => self.confirm_zone(now, zone, out),
                 Timer::AwaitTable(key) => self.refuse_without_table(now, key, out),
-                Timer::PauseEnd(service) => self.dispatch_waiters(now, service, out),
+                Timer::ServerAvailable(service) => self.dispatch_waiters(now, service, out),
             }
         }
     }
--- a/crates/hornbeam_route/src/engine/notices.rs
+++ b/crates/hornbeam_route/src/engine/notices.rs
@@ -91,7 +91,7 @@
         self.pauses.retain(|_, (_, until)| *until > now);
         self.pauses.insert(server.id.clone(), (server.incarnation, now + time));
         let (server, service) = (server.id.clone(), server.service);
-        self.timers.push(std::cmp::Reverse((now + time, Timer::PauseEnd(service))));
+        self.timers.push(std::cmp::Reverse((now + time, Timer::ServerAvailable(service))));
         out.push(Output::Log(Decision::ServerPaused {
             request: in_flight.id.clone(),
             server,
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -171,7 +171,7 @@
         let (service, attempts) = (progress.service, progress.attempts);
         progress.not_awaited = others_suffice;
         let mut servers = self.services[service].servers.clone();
-        servers.retain(|s| !self.servers[*s].is_paused(now));
+        servers.retain(|s| !self.servers[*s].is_paused(now) && self.within_rate(now, *s));
         let probe = servers.iter().copied().find(|s| self.servers[*s].start_probe_if_due(now));
         let required = || {
             let open = servers.iter().copied().filter(|s| self.servers[*s].has_capacity());
@@ -214,41 +214,43 @@
         let mut too_slow: Option<(usize, f64)> = None;
         let mut in_silent_zone: Option<(usize, f64)> = None;
         let mut full = false;
-        for idx in &self.services[service].servers {
-            let server = &mut self.servers[*idx];
-            if exclude.contains(idx)
+        for position in 0..self.services[service].servers.len() {
+            let idx = self.services[service].servers[position];
+            let server = &mut self.servers[idx];
+            if exclude.contains(&idx)
                 || server.is_paused(now)
                 || (server.is_ejected() && !server.start_probe_if_due(now))
             {
                 continue;
             }
-            if !server.has_capacity() {
+            if !server.has_capacity() || !self.within_rate(now, idx) {
                 full = true;
                 continue;
             }
+            let server = &self.servers[idx];
             let jitter = 1.0 + self.rng.random_range(0.0..COST_JITTER);
             let cost = server.cost(now, usual) * jitter;
             if self.zones.is_unreachable(&server.zone) {
                 // A retry or hedge replaces an attempt that failed, so it is no probe.
                 if exclude.is_empty() && self.zones.start_probe_if_due(now, &server.zone) {
-                    return ServerChoice::Server(*idx, cost);
+                    return ServerChoice::Server(idx, cost);
                 }
                 if !self.zones.is_lost(now, &server.zone)
                     && in_silent_zone.is_none_or(|(_, least)| cost < least)
                 {
-                    in_silent_zone = Some((*idx, cost));
+                    in_silent_zone = Some((idx, cost));
                 }
                 continue;
             }
             if now < due && now + server.expected_latency(now, usual).div_f64(TOO_SLOW_RATIO) > due
             {
                 if too_slow.is_none_or(|(_, least)| cost < least) {
-                    too_slow = Some((*idx, cost));
+                    too_slow = Some((idx, cost));
                 }
                 continue;
             }
             if best.is_none_or(|(_, least)| cost < least) {
-                best = Some((*idx, cost));
+                best = Some((idx, cost));
             }
         }
         match best.or(if full { None } else { too_slow.or(in_silent_zone) }) {
@@ -405,6 +407,7 @@
             marked_unresponsive: false,
         };
         self.attempts.insert(attempt, in_flight);
+        self.count_against_rate(server);
     }
 
     /// Lets an attempt linger whose response is no longer needed, so that its connection can be
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -5,13 +5,15 @@
 //!
 //! - [`budget`]: limit on hedges and retries per service
 //! - `demand`: request rate of this entry and its part of that of all entries
+//! - `rate_meter`: mean rate of requests
+//! - [`rate_limit`]: this entry's part of the rates that servers state
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
 //! - [`request`]: state of one running request
 //! - [`zones`]: detects that a whole zone has become unreachable
 //! - [`split`]: weighted distribution of requests over services
 //! - [`merge`]: merges the records of shard responses into one ranking
-//! - [`notice`]: servers that leave or ask for a pause
+//! - [`notice`]: servers that leave, ask for a pause or state a rate
 //! - [`decision`]: decisions and their reasons, for the log
 //! - [`peers`]: other entries, and the choice of gathering entries for shard groups
 //! - [`engine`]: state machine of all requests of one entry, `step(now, input) -> outputs`
@@ -23,6 +25,8 @@
 pub mod merge;
 pub mod notice;
 pub mod peers;
+pub mod rate_limit;
+mod rate_meter;
 pub mod request;
 pub mod server;
 pub mod service;
@@ -36,6 +40,6 @@
     GroupRequest, Input, Output, ServerChange, ServerHealthReport, group_size,
 };
 pub use merge::merge_records;
-pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, ServerNotice};
+pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
 pub use peers::{Peer, Peers};
 pub use request::{Refusal, RefusalKind};
--- a/crates/hornbeam_route/src/notice.rs
+++ b/crates/hornbeam_route/src/notice.rs
@@ -1,9 +1,9 @@
-//! What backend servers state about themselves in responses: that they are leaving, or that they
-//! want no requests for some time.
+//! What backend servers state about themselves in responses: that they are leaving, that they want
+//! no requests for some time, or how many requests a second they accept.
 
 use std::time::Duration;
 
-use hornbeam_model::{Incarnation, ServerId};
+use hornbeam_model::{Incarnation, RequestRate, ServerId};
 use indexmap::IndexMap;
 
 /// Longest pause that a server can ask for. A longer one is cut to this, so that a wrong value does
@@ -20,6 +20,20 @@
     pub leaving: bool,
     /// Pause that the server asks for; stated only in a refusal.
     pub pause: Option<PauseRequest>,
+    /// Rate that the server accepts.
+    pub rate: RateNotice,
+}
+
+/// The request rate that a server states in a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RateNotice {
+    /// The response states no rate.
+    #[default]
+    Unstated,
+    /// The server accepts this rate from all entries together.
+    Stated(RequestRate),
+    /// The stated rate cannot be read; what the server stated before holds.
+    Unreadable,
 }
 
 /// A pause that a server asks for.
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -72,6 +72,8 @@
     pub slots: u32,
     /// True while it accepts new requests.
     pub usable: bool,
+    /// True while it states the rate of requests that it accepts.
+    pub rate_limited: bool,
     /// End of the warm-up after its start.
     pub warm_up_until: Mono,
     /// In-flight attempts with their send times, oldest first.
@@ -106,6 +108,7 @@
             same_zone: false,
             slots: 1,
             usable: true,
+            rate_limited: false,
             warm_up_until: Mono::default(),
             outstanding: Vec::new(),
             share,
--- a/crates/hornbeam_route/src/service.rs
+++ b/crates/hornbeam_route/src/service.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hornbeam_model::{Mono, QueryId, ServiceId};
+use hornbeam_model::{Mono, QueryId, RequestRate, ServiceId};
 use hornbeam_traffic::Limiter;
 
 use crate::budget::{RetryBudget, RetryBudgetParams};
+use crate::rate_meter::RateMeter;
 
 /// Weight of one latency sample in the moving average of the service.
 const MEAN_LATENCY_WEIGHT: f64 = 0.05;
@@ -41,6 +42,8 @@
     pub max_connections: u32,
     /// Limits hedges and retries relative to the requests.
     pub retry_budget: RetryBudget,
+    /// Rate of the requests for it at this entry, with those that are refused.
+    demand: RateMeter,
     /// Shards that are queued for capacity at a server.
     pub waiters: BTreeSet<Waiter>,
     /// True from when a waiter was dropped as late until the queue is empty.
@@ -62,6 +65,7 @@
             servers: Vec::new(),
             max_connections: 0,
             retry_budget: RetryBudget::new(budget),
+            demand: RateMeter::default(),
             waiters: BTreeSet::new(),
             standing_queue: false,
             outstanding: 0,
@@ -71,6 +75,17 @@
         }
     }
 
+    /// Records a request for the service, which raises the demand and the retry budget.
+    pub fn record_request(&mut self, now: Mono) {
+        self.demand.record(now);
+        self.retry_budget.record_request(now);
+    }
+
+    /// Returns the rate of the requests for the service at this entry.
+    pub fn demand(&self, now: Mono) -> RequestRate {
+        self.demand.rate(now)
+    }
+
     /// Returns the mean latency of successful responses, or an assumed one before the first.
     pub fn mean_latency(&self) -> Duration {
         self.mean.unwrap_or(ASSUMED_MEAN_LATENCY)
@@ -127,10 +142,15 @@
         self.waiters.range(..=last).next_back().copied()
     }
 
+    /// Returns the number of waiters of this priority or a more urgent one.
+    pub fn waiters_ahead(&self, priority: u8) -> usize {
+        self.waiters.iter().take_while(|w| w.priority <= priority).count()
+    }
+
     /// Returns the expected wait behind the waiters of this priority or a more urgent one, with a
     /// limit of `max_in_flight` attempts.
     pub fn expected_wait(&self, priority: u8, max_in_flight: u32) -> Duration {
-        let ahead = self.waiters.iter().take_while(|w| w.priority <= priority).count();
+        let ahead = self.waiters_ahead(priority);
         if ahead == 0 {
             return Duration::ZERO;
         }
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -12,8 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_discovery::RateReports;
 use hornbeam_model::{
-    AttemptId, Mono, QueryId, Route, RoutedService, Routing, ServerId, ServiceId, TableVersion,
+    AttemptId, Mono, QueryId, RateReport, RequestRate, Route, RoutedService, Routing, ServerId,
+    ServiceId, TableVersion,
 };
 use hornbeam_route::{
     Attempt, AttemptOutcome, Completion, Decision, Delegation, Engine, GroupEvent, GroupRequest,
@@ -34,6 +36,8 @@
 
 /// Interval in which entries hear the request rate of all entries.
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Delay of a late report.
+const LATE_REPORT: Duration = Duration::from_millis(900);
 /// Time in which a refusal reaches its caller and the next request reaches an entry.
 const CALLER_LATENCY: Duration = Duration::from_millis(2);
 
@@ -57,6 +61,10 @@
     CallerReturns(usize, Mono),
     /// Every entry hears the request rate of all entries.
     ReportDemand,
+    /// Every entry hears the rates that servers state.
+    ReportRates,
+    /// Reports of stated rates, by their number, arrive at an entry.
+    RatesArrive(usize, u64),
     /// A restarted entry hears its controllers.
     Sync(usize),
     /// The message with this number arrives at an entry.
@@ -89,6 +97,14 @@
     ReportsLost,
 }
 
+/// Fractions of the reports between entries and controllers that are lost, late or doubled.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReportFaults {
+    pub lost: f64,
+    pub late: f64,
+    pub doubled: f64,
+}
+
 /// A request that has ended.
 #[derive(Clone, Debug)]
 pub struct EndedRequest {
@@ -130,6 +146,10 @@
     pub preferred_entry: Option<(usize, f64)>,
     busy_until: Vec<Mono>,
     peer_messages: HashMap<u64, PeerMessage>,
+    /// The controller's view of stated rates, and its messages about them.
+    rate_reports: RateReports,
+    rate_messages: HashMap<u64, Vec<RateReport>>,
+    report_faults: ReportFaults,
     /// Origin entry and group, by the key of the group at its gathering entry.
     gathers: HashMap<QueryId, (usize, AttemptId)>,
     delegations: HashMap<(usize, AttemptId), (usize, QueryId)>,
@@ -190,6 +210,9 @@
             preferred_entry: None,
             busy_until: vec![Mono::default(); entries],
             peer_messages: HashMap::new(),
+            rate_reports: RateReports::default(),
+            rate_messages: HashMap::new(),
+            report_faults: ReportFaults::default(),
             gathers: HashMap::new(),
             delegations: HashMap::new(),
             aborted: HashSet::new(),
@@ -249,6 +272,8 @@
             queue: VecDeque::new(),
             queue_limit: 12,
             arrivals: 0,
+            rate: None,
+            arrived_at: Vec::new(),
         });
         self.announce_server(self.servers.len() - 1);
     }
@@ -414,6 +439,8 @@
             Event::AttemptFinished((entry, _), _, _) => Some(entry),
             Event::Request(_)
             | Event::ReportDemand
+            | Event::ReportRates
+            | Event::RatesArrive(..)
             | Event::CallerReturns(..)
             | Event::Sync(_)
             | Event::AttemptArrival(..)
@@ -451,6 +478,11 @@
                 }
                 self.schedule(now + DEMAND_REPORT_INTERVAL, Event::ReportDemand);
             }
+            Event::ReportRates => self.exchange_rates(),
+            Event::RatesArrive(entry, number) => {
+                let reports = self.rate_messages[&number].clone();
+                self.step(entry, Input::RateReports(reports));
+            }
             Event::CallerReturns(route, first_arrived) => {
                 let entry = self.rng.random_range(0..self.engines.len());
                 self.returned.insert(QueryId(self.next_key));
@@ -490,6 +522,50 @@
         }
     }
 
+    /// Exchanges reports of stated rates through a controller from now on.
+    pub fn report_rates(&mut self, faults: ReportFaults) {
+        self.report_faults = faults;
+        self.schedule(self.now, Event::ReportRates);
+    }
+
+    fn exchange_rates(&mut self) {
+        let now = self.now;
+        let ReportFaults { lost, late, doubled } = self.report_faults;
+        for entry in 0..self.engines.len() {
+            let reports = self.engines[entry].rate_reports(now);
+            if !self.rng.random_bool(lost) {
+                self.rate_reports.record(now, &entry_name(entry), reports);
+            }
+        }
+        let summary = self.rate_reports.summary(now);
+        let number = self.seq;
+        self.rate_messages.insert(number, summary);
+        for entry in 0..self.engines.len() {
+            if self.rng.random_bool(lost) {
+                continue;
+            }
+            let delay = if self.rng.random_bool(late) { LATE_REPORT } else { ONE_WAY_LATENCY };
+            self.schedule(now + delay, Event::RatesArrive(entry, number));
+            if self.rng.random_bool(doubled) {
+                self.schedule(now + 2 * LATE_REPORT, Event::RatesArrive(entry, number));
+            }
+        }
+        self.schedule(now + DEMAND_REPORT_INTERVAL, Event::ReportRates);
+    }
+
+    /// Sets the rate that a server states in its responses.
+    pub fn set_rate(&mut self, server: &str, rate: Option<f64>) {
+        let name: ServerId = server.parse().unwrap();
+        let rate = rate.and_then(RequestRate::from_per_second);
+        self.servers[self.by_name[&name]].rate = rate;
+    }
+
+    /// Times at which requests arrived at a server.
+    pub fn arrival_times(&self, server: &str) -> &[Mono] {
+        let name: ServerId = server.parse().unwrap();
+        &self.servers[self.by_name[&name]].arrived_at
+    }
+
     fn send_message(&mut self, entry: usize, from: usize, message: PeerMessage) {
         let number = self.seq;
         self.peer_messages.insert(number, message);
@@ -749,6 +825,7 @@
         let mean = self.work[route];
         let s = &mut self.servers[server];
         s.arrivals += 1;
+        s.arrived_at.push(self.now);
         let slow = if let Fault::Slow(x) = s.fault { x } else { 1.0 };
         let work = mean.mul_f64(spread * tail * slow * s.speed);
         let reply = self.now + ONE_WAY_LATENCY;
--- a/crates/hornbeam_route/tests/common/sim_server.rs
+++ b/crates/hornbeam_route/tests/common/sim_server.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use hornbeam_model::{Mono, ServerId};
-use hornbeam_route::{PauseRequest, ServerNotice};
+use hornbeam_model::{Mono, RequestRate, ServerId};
+use hornbeam_route::{PauseRequest, RateNotice, ServerNotice};
 
 use super::AttemptKey;
 
@@ -45,6 +45,10 @@
     pub(super) queue: VecDeque<(AttemptKey, Duration, Mono)>,
     pub(super) queue_limit: usize,
     pub arrivals: u64,
+    /// Rate that it states in its responses.
+    pub rate: Option<RequestRate>,
+    /// Times at which requests arrived.
+    pub arrived_at: Vec<Mono>,
 }
 
 impl SimServer {
@@ -55,7 +59,8 @@
             Fault::Pause(time) if outcome == 2 => Some(PauseRequest::For(time)),
             _ => None,
         };
-        ServerNotice { leaving: self.leaving && responds, pause }
+        let rate = self.rate.filter(|_| responds).map_or(RateNotice::Unstated, RateNotice::Stated);
+        ServerNotice { leaving: self.leaving && responds, pause, rate }
     }
 
     /// End of work that starts now, including the pauses in between.
