--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,7 +35,12 @@
 }
 
 /// An entry whose route leads to one server at `address`.
-pub fn core(address: std::net::SocketAddr, idempotent: bool) -> Rc<Core> {
+pub fn core(address: SocketAddr, idempotent: bool) -> Rc<Core> {
+    core_of(&[address], idempotent)
+}
+
+/// An entry whose route leads to a server at each of the addresses.
+pub fn core_of(addresses: &[SocketAddr], idempotent: bool) -> Rc<Core> {
     let service: ServiceId = "tablet".parse().unwrap();
     let engine = Engine::new(EngineParams {
         name: "e0".parse().unwrap(),
@@ -67,25 +73,30 @@
         ..Routing::default()
     };
     core.step(Input::Table(Arc::new(table)));
-    core.step(Input::Servers(vec![ServerChange::Usable {
-        server: "s0".parse().unwrap(),
+    let servers = addresses.iter().enumerate().map(|(i, address)| ServerChange::Usable {
+        server: format!("s{i}").parse().unwrap(),
         incarnation: Incarnation(1),
-        service,
-        address,
+        service: service.clone(),
+        address: *address,
         zone: "olomouc".parse().unwrap(),
         slots: 4,
         warm_up: Duration::ZERO,
-    }]));
+    });
+    core.step(Input::Servers(servers.collect()));
     core
 }
 
 pub async fn request(core: &Rc<Core>, id: &str) -> Reply {
-    let head = format!("GET /lookup/1 HTTP/1.1\r\nhornbeam-request-id: {id}\r\n");
+    request_path(core, id, "/lookup/1").await
+}
+
+pub async fn request_path(core: &Rc<Core>, id: &str, path: &str) -> Reply {
+    let head = format!("GET {path} HTTP/1.1\r\nhornbeam-request-id: {id}\r\n");
     let forwarded = ForwardedRequest { id: id.into(), head: head.into(), body: Default::default() };
     let received = ReceivedRequest {
         forwarded,
         host: "plots.example".into(),
-        path: "/lookup/1".into(),
+        path: path.into(),
         patience: Some(Duration::from_secs(1)),
         opened_connection: false,
     };
@@ -95,13 +106,19 @@
 
 /// Reads one request; returns its id, or `None` at the end of the connection.
 pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    read_head(stream).await.map(|(id, _)| id)
+}
+
+/// Reads one request; returns its id and its head, or `None` at the end of the connection.
+pub async fn read_head(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
     let head = String::from_utf8(head).unwrap();
     let id = head.lines().find_map(|l| l.strip_prefix("hornbeam-request-id: "));
-    Some(id.expect("an entry sends the id").to_owned())
+    let id = id.expect("an entry sends the id").to_owned();
+    Some((id, head))
 }
 
 pub fn response(id: &str, body: &str) -> String {
