--- a/crates/hornbeam_route/tests/notices.rs
+++ b/crates/hornbeam_route/tests/notices.rs
@@ -9,15 +9,16 @@
 use hornbeam_model::{AttemptId, Incarnation, Mono, Route};
 use hornbeam_route::{
     AttemptOutcome, Completion, Decision, Input, LeavingServer, MAX_PAUSE, Output, PauseRequest,
-    RefusalKind, ServerChange, ServerNotice,
+    RateNotice, RefusalKind, ServerChange, ServerNotice,
 };
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
-const LEAVING: ServerNotice = ServerNotice { leaving: true, pause: None };
+const LEAVING: ServerNotice =
+    ServerNotice { leaving: true, pause: None, rate: RateNotice::Unstated };
 
 fn pause(time: Duration) -> ServerNotice {
-    ServerNotice { leaving: false, pause: Some(PauseRequest::For(time)) }
+    ServerNotice { pause: Some(PauseRequest::For(time)), ..ServerNotice::default() }
 }
 
 fn lookup() -> Route {
@@ -287,7 +288,7 @@
     let mut harness = Harness::new(lookup(), 80);
     let attempt = send_to(&mut harness, T, 1, "s0");
     harness.out.clear();
-    let notice = ServerNotice { leaving: false, pause: stated };
+    let notice = ServerNotice { pause: stated, ..ServerNotice::default() };
     let finished = Input::AttemptFinished { attempt, outcome: AttemptOutcome::NotRun, notice };
     harness.step(T + MS, finished);
     let pauses = harness.out.iter().filter_map(|o| match o {
