The log tells repeats of a request and how a connection ended

Requests now have a fingerprint of caller and content (method, host, target, body), which groups carry along, and attempts that end with their connection are logged as 'connection lost'.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -158,11 +158,20 @@
         }
         return match read_response(&stream).await {
             Ok(response) => handle_response(core, attempt, request, stream, response),
+            Err(e) if is_connection_end(&e) => {
+                Exchange::without_response(AttemptOutcome::ConnectionLost)
+            }
             Err(_) => Exchange::without_response(AttemptOutcome::Lost),
         };
     }
 }
 
+/// Returns true if reading failed because the connection has ended, and false if what was read is no
+/// valid response.
+fn is_connection_end(e: &io::Error) -> bool {
+    e.kind() != io::ErrorKind::InvalidData
+}
+
 fn encode_request(
     dialect: &Dialect,
     attempt: &Attempt,
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
-use hornbeam_model::{AttemptId, Mono, QueryId, RateReport};
+use hornbeam_model::{AttemptId, Fingerprint, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{
@@ -33,6 +33,8 @@
 pub struct ForwardedRequest {
     /// Request id that the caller assigned.
     pub id: SmolStr,
+    /// Recognizes the request when the caller repeats it.
+    pub fingerprint: Fingerprint,
     /// Request line and header fields, without the fields that each attempt adds and without the
     /// empty line.
     pub head: Vec<u8>,
@@ -209,10 +211,10 @@
         let ReceivedRequest { forwarded, host, path, patience, opened_connection } = received;
         let key = self.next_key();
         let (tx, rx) = oneshot::channel();
-        let id = forwarded.id.clone();
+        let (id, fingerprint) = (forwarded.id.clone(), forwarded.fingerprint);
         self.callers.borrow_mut().insert(key, tx);
         self.requests.borrow_mut().insert(key, Rc::new(forwarded));
-        self.step(Input::Request { key, id, host, path, patience, opened_connection });
+        self.step(Input::Request { key, id, fingerprint, host, path, patience, opened_connection });
         (key, rx)
     }
 
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hornbeam_model::Fingerprint;
 use hornbeam_model::QueryId;
 use hornbeam_node::program::next_connection;
 use hornbeam_route::{Refusal, RefusalKind};
@@ -76,6 +78,8 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let Ok(caller) = stream.peer_addr() else { return };
+    let caller = caller.ip();
     let limits = core.with_engine(|e| e.table().map(|t| t.limits.clone())).unwrap_or_default();
     let header_read_timeout = Duration::from_millis(u64::from(limits.idle_timeout_ms))
         + Duration::from_millis(u64::from(limits.header_timeout_ms));
@@ -84,7 +88,7 @@
     let service = service_fn(move |req| {
         let (core, stage, opened) =
             (core.clone(), *current_stage.borrow(), is_first.replace(false));
-        async move { Ok::<_, Infallible>(handle_request(core, req, opened, stage).await) }
+        async move { Ok::<_, Infallible>(handle_request(core, req, caller, opened, stage).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -123,10 +127,11 @@
 async fn handle_request(
     core: Rc<Core>,
     req: Request<Incoming>,
+    caller: IpAddr,
     opened_connection: bool,
     stage: Stage,
 ) -> Response<Full<Bytes>> {
-    let mut response = match read_request(&core, req, opened_connection).await {
+    let mut response = match read_request(&core, req, caller, opened_connection).await {
         Ok(received) => {
             let (key, rx) = core.start_request(received);
             let guard = CallerGuard { core: core.clone(), key };
@@ -153,6 +158,7 @@
 async fn read_request(
     core: &Rc<Core>,
     req: Request<Incoming>,
+    caller: IpAddr,
     opened_connection: bool,
 ) -> Result<ReceivedRequest, Response<Full<Bytes>>> {
     let (head, body) = req.into_parts();
@@ -188,9 +194,10 @@
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let path = SmolStr::new(head.uri.path());
     let target = target.to_owned();
+    let fingerprint = Fingerprint::new(caller, head.method.as_str(), &host, &target, &body);
     let headers = end_to_end(head.headers);
     let head = request_head(&core.dialect, &head.method, &target, &headers, &body);
-    let forwarded = ForwardedRequest { id, head, body };
+    let forwarded = ForwardedRequest { id, fingerprint, head, body };
     Ok(ReceivedRequest { forwarded, host, path, patience, opened_connection })
 }
 
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -78,6 +78,7 @@
         let gather_request = GatherRequest {
             group: delegation.group.0,
             request: request.id.clone(),
+            fingerprint: request.fingerprint,
             route: delegation.route,
             head: request.head.clone(),
             body: request.body.to_vec(),
@@ -406,12 +407,14 @@
     let key = core.next_key();
     let forwarded = ForwardedRequest {
         id: request.request.clone(),
+        fingerprint: request.fingerprint,
         head: request.head,
         body: request.body.into(),
     };
     let group = GroupRequest {
         key,
         id: request.request,
+        fingerprint: request.fingerprint,
         route: Arc::new(request.route),
         due_in: Duration::from_micros(request.due_us),
         remaining: Duration::from_micros(request.left_us),
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +11,9 @@
 use hornbeam_entry::dialect::Dialect;
 use hornbeam_entry::group_exchange::GroupExchange;
 use hornbeam_entry::metrics::Metrics;
-use hornbeam_model::{Incarnation, Route, RoutedService, Routing, ServiceId, TableVersion, Target};
+use hornbeam_model::{
+    Fingerprint, Incarnation, Route, RoutedService, Routing, ServiceId, TableVersion, Target,
+};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
@@ -92,7 +94,10 @@
 
 pub async fn request_path(core: &Rc<Core>, id: &str, path: &str) -> Reply {
     let head = format!("GET {path} HTTP/1.1\r\nhornbeam-request-id: {id}\r\n");
-    let forwarded = ForwardedRequest { id: id.into(), head: head.into(), body: Default::default() };
+    let fingerprint =
+        Fingerprint::new(IpAddr::from([127, 0, 0, 1]), "GET", "plots.example", path, b"");
+    let body = Default::default();
+    let forwarded = ForwardedRequest { id: id.into(), fingerprint, head: head.into(), body };
     let received = ReceivedRequest {
         forwarded,
         host: "plots.example".into(),
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`time`]: monotonic time of the state machines
 //! - [`shards`]: sets of shards as sorted inclusive ranges
 //! - [`server`]: announcements of backend servers
+//! - [`fingerprint`]: recognizes a request that a caller repeats
 //! - [`hit`]: search hits and their ranking
 //! - [`rate`]: request rates
 //! - [`rate_limit`]: rates that backend servers state that they accept
@@ -15,6 +16,7 @@
 
 pub mod change;
 pub mod config;
+pub mod fingerprint;
 pub mod hit;
 pub mod ids;
 pub mod patience;
@@ -28,6 +30,7 @@
 
 pub use change::{Change, ChangeError};
 pub use config::{Budgets, Config, ConfigError, Limits, Prefer, Service};
+pub use fingerprint::Fingerprint;
 pub use hit::Hit;
 pub use ids::{
     AttemptId, ChangeId, IdError, Incarnation, IndexVersion, InstanceId, QueryId, RequestId,
--- a/crates/hornbeam_protocol/src/gather.rs
+++ b/crates/hornbeam_protocol/src/gather.rs
@@ -1,6 +1,6 @@
 //! Shard groups that one entry (the gathering entry) handles for another (the origin entry).
 
-use hornbeam_model::{Incarnation, InstanceId, Route, ServerId};
+use hornbeam_model::{Fingerprint, Incarnation, InstanceId, Route, ServerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -22,6 +22,8 @@
     pub due_us: u64,
     /// Remaining time of the request, in microseconds.
     pub left_us: u64,
+    /// Recognizes the request when the caller repeats it.
+    pub fingerprint: Fingerprint,
 }
 
 /// Messages from the origin entry to the gathering entry.
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -1,9 +1,11 @@
 //! Routing decisions and their reasons, as written to the decision log.
 
+use std::fmt::Display;
+
 use hornbeam_model::{
-    AttemptId, InstanceId, RequestRate, RouteId, ServerId, ServiceId, TableVersion,
+    AttemptId, Fingerprint, InstanceId, RequestRate, RouteId, ServerId, ServiceId, TableVersion,
 };
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 use smol_str::SmolStr;
 
 use crate::request::RefusalKind;
@@ -124,6 +126,8 @@
     /// An attempt ended without a successful response.
     AttemptFailed {
         request: SmolStr,
+        #[serde(serialize_with = "serialize_text")]
+        fingerprint: Fingerprint,
         attempt: AttemptId,
         kind: AttemptKind,
         server: ServerId,
@@ -183,6 +187,11 @@
     TableInForce { table: TableVersion, routes: usize },
 }
 
+/// Writes a value as its text.
+fn serialize_text<S: Serializer>(value: &impl Display, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(value)
+}
+
 impl Decision {
     /// Returns true if the decision reports a failure; these take precedence when the log is
     /// bounded.
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{Mono, QueryId, Route, ServiceId, Target};
+use hornbeam_model::{Fingerprint, Mono, QueryId, Route, ServiceId, Target};
 use rand::Rng;
 use smol_str::SmolStr;
 
@@ -34,6 +34,7 @@
 pub(super) struct Arrival {
     pub key: QueryId,
     pub id: SmolStr,
+    pub fingerprint: Fingerprint,
     pub host: SmolStr,
     pub path: SmolStr,
     pub arrived: Mono,
@@ -102,6 +103,7 @@
             deadline: now + patience,
             answer_by,
             min_shards,
+            fingerprint: arrival.fingerprint,
             ..RunningRequest::new(arrival.key, arrival.id, route, services)
         };
         let key = running.key;
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -74,7 +74,9 @@
                 self.log_ejection(in_flight, time, out);
             }
             AttemptOutcome::Withheld => {}
-            AttemptOutcome::Lost => self.record_no_response(now, in_flight, out),
+            AttemptOutcome::ConnectionLost | AttemptOutcome::Lost => {
+                self.record_no_response(now, in_flight, out)
+            }
         }
     }
 
@@ -211,7 +213,7 @@
             AttemptOutcome::Error => {
                 out.extend(progress.error_response.replace(attempt).map(Output::Discard))
             }
-            AttemptOutcome::Lost | AttemptOutcome::Answered => {}
+            AttemptOutcome::ConnectionLost | AttemptOutcome::Lost | AttemptOutcome::Answered => {}
         }
         if outcome != AttemptOutcome::Error {
             out.push(Output::Discard(attempt));
@@ -219,6 +221,7 @@
         let retried = self.retry_shard(now, key, in_flight.shard, out);
         out.push(Output::Log(Decision::AttemptFailed {
             request: in_flight.id.clone(),
+            fingerprint: in_flight.fingerprint,
             attempt,
             kind: in_flight.kind,
             server: self.servers[in_flight.server].id.clone(),
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{Mono, QueryId, Route, Target};
+use hornbeam_model::{Fingerprint, Mono, QueryId, Route, Target};
 use smol_str::SmolStr;
 
 use super::completion::{discard_all, discard_errors};
@@ -27,6 +27,8 @@
     pub id: SmolStr,
     /// Route with only the shards of the group.
     pub route: Arc<Route>,
+    /// Recognizes the request when the caller repeats it.
+    pub fingerprint: Fingerprint,
     /// Time until the shard responses are due.
     pub due_in: Duration,
     /// Time until the deadline of the request.
@@ -49,6 +51,7 @@
             arrived: now,
             deadline: now + group.remaining.saturating_sub(DEADLINE_RESERVE),
             answer_by: now + group.due_in,
+            fingerprint: group.fingerprint,
             gather: Some(GatherState::default()),
             ..RunningRequest::new(key, group.id, group.route, services)
         };
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, InstanceId, QueryId, RateReport, RequestRate, Route, Routing, ServerId,
-    ServiceId, Zone,
+    AttemptId, Fingerprint, Incarnation, InstanceId, QueryId, RateReport, RequestRate, Route,
+    Routing, ServerId, ServiceId, Zone,
 };
 use smol_str::SmolStr;
 
@@ -86,6 +86,8 @@
         key: QueryId,
         /// Request id, as sent by the caller.
         id: SmolStr,
+        /// Recognizes the request when the caller repeats it.
+        fingerprint: Fingerprint,
         /// Host that the request names.
         host: SmolStr,
         /// Path without the query string.
@@ -204,7 +206,9 @@
     /// The attempt was not sent, because [`Engine::may_send`](super::Engine::may_send) did not
     /// allow it any more.
     Withheld,
-    /// The response was lost or invalid; the request may have run.
+    /// The connection ended without a complete response; the request may have run.
+    ConnectionLost,
+    /// The response is invalid or belongs to another request; the request may have run.
     Lost,
 }
 
@@ -223,6 +227,7 @@
             Self::WrongServer => "wrong server",
             Self::NotSent => "not sent",
             Self::Withheld => "withheld",
+            Self::ConnectionLost => "connection lost",
             Self::Lost => "lost",
         }
     }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -32,8 +32,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, Mono, QueryId, RequestRate, RouteId, RouteIndex, Routing, ServerId,
-    ServiceId,
+    AttemptId, Fingerprint, Incarnation, Mono, QueryId, RequestRate, RouteId, RouteIndex, Routing,
+    ServerId, ServiceId,
 };
 use hornbeam_traffic::latency::LatencyWindow;
 use indexmap::IndexMap;
@@ -64,6 +64,7 @@
     /// Request that waits for it; `None` once it lingers.
     request: Option<QueryId>,
     id: SmolStr,
+    fingerprint: Fingerprint,
     route: RouteId,
     shard: usize,
     server: usize,
@@ -165,11 +166,12 @@
     /// Handles one input and appends the resulting outputs.
     pub fn step(&mut self, now: Mono, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Request { key, id, host, path, patience, opened_connection } => {
+            Input::Request { key, id, fingerprint, host, path, patience, opened_connection } => {
                 let arrived = now;
                 let arrival = admission::Arrival {
                     key,
                     id,
+                    fingerprint,
                     host,
                     path,
                     arrived,
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -399,6 +399,7 @@
         let in_flight = InFlightAttempt {
             request: Some(key),
             id: running.id.clone(),
+            fingerprint: running.fingerprint,
             route: running.route.name.clone(),
             shard,
             server,
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{AttemptId, Mono, QueryId, Route, TableVersion, Target};
+use hornbeam_model::{AttemptId, Fingerprint, Mono, QueryId, Route, TableVersion, Target};
 use indexmap::IndexSet;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -178,6 +178,8 @@
     pub key: QueryId,
     /// Request id, as sent by the caller.
     pub id: SmolStr,
+    /// Recognizes the request when the caller repeats it.
+    pub fingerprint: Fingerprint,
     /// Matched route, from the table version in force on arrival.
     pub route: Arc<Route>,
     /// Table version of the route; the whole request uses this version.
@@ -210,11 +212,13 @@
 }
 
 impl RunningRequest {
-    /// Creates a request without attempts; times, table version and `min_shards` are not set.
+    /// Creates a request without attempts; times, table version, fingerprint and `min_shards` are
+    /// not set.
     pub fn new(key: QueryId, id: SmolStr, route: Arc<Route>, services: Vec<usize>) -> Self {
         Self {
             key,
             id,
+            fingerprint: Fingerprint::default(),
             route,
             table: TableVersion(0),
             arrived: Mono::default(),
--- a/crates/hornbeam_route/tests/common/harness.rs
+++ b/crates/hornbeam_route/tests/common/harness.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Incarnation, Mono, QueryId, Route, RoutedService, Routing, TableVersion,
+    AttemptId, Fingerprint, Incarnation, Mono, QueryId, Route, RoutedService, Routing, TableVersion,
 };
 use hornbeam_route::{
     AttemptOutcome, Completion, Engine, EngineParams, Input, Output, RefusalKind,
@@ -88,6 +88,7 @@
             Input::Request {
                 key: QueryId(key),
                 id: format!("r{key}").into(),
+                fingerprint: Fingerprint { caller: 0, content: key },
                 host: "plots.example".into(),
                 path: "/lookup/1".into(),
                 patience,
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -14,8 +14,8 @@
 
 use hornbeam_discovery::RateReports;
 use hornbeam_model::{
-    AttemptId, Mono, QueryId, RateReport, RequestRate, Route, RoutedService, Routing, ServerId,
-    ServiceId, TableVersion,
+    AttemptId, Fingerprint, Mono, QueryId, RateReport, RequestRate, Route, RoutedService, Routing,
+    ServerId, ServiceId, TableVersion,
 };
 use hornbeam_route::{
     Attempt, AttemptOutcome, Completion, Decision, Delegation, Engine, GroupEvent, GroupRequest,
@@ -625,6 +625,7 @@
         let request = GroupRequest {
             key,
             id: format!("r{}", delegation.request).into(),
+            fingerprint: Fingerprint { caller: 0, content: delegation.request.0 },
             route: Arc::new(delegation.route),
             due_in: delegation.due_in,
             remaining: delegation.remaining,
@@ -683,6 +684,7 @@
         let input = Input::Request {
             key,
             id: format!("r{key}").into(),
+            fingerprint: Fingerprint { caller: 0, content: key.0 },
             host: "plots.example".into(),
             path: self.paths[route].as_str().into(),
             patience,
