A request that ended three servers one after the other is sent to no other one

Cause: entries kept no memory of what a server was running when it ended, so each repeat, at whichever entry, was a new request. Class: a retry limit that ends with the attempt of one caller at one entry. Change: after a connection is lost, an entry checks whether the server has ended; if so, the requests in flight there become suspects. A request is quarantined once three servers have ended under it one after the other. Runs that overlap count once (one event may have ended all these servers), a response clears a request, and an end that a quarantined request explains counts for no other one. Entries report the runs to all controllers, which pass on what is new at once and all to an entry that follows them; runs, suspects and messages are bounded, and a quarantine ends ten minutes after the last end. Every way to a server looks at it: arrival, queue, retry, hedge, probe, group, and the moment before the request is written. Such a request gets 503 at once, which is true, and the end of its quarantine as Retry-After; one that was in flight gets 502.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hornbeam_model::{RateReport, RequestRate, TableVersion};
+use hornbeam_model::{CrashReport, RateReport, RequestRate, TableVersion};
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::program::next_connection;
 use hornbeam_protocol::FrameKey;
@@ -41,6 +41,8 @@
     HealthReports(FeedId, Vec<HealthReport>),
     /// The entry reports the rates that these servers state.
     RateReports(FeedId, Vec<RateReport>),
+    /// The entry reports requests that were in flight at servers that ended.
+    CrashReports(FeedId, Vec<CrashReport>),
     /// The connection was closed.
     Closed(FeedId),
 }
@@ -112,6 +114,7 @@
             Ok(FeedUp::FetchTable { have }) => FeedEvent::FetchTable(id, have),
             Ok(FeedUp::HealthReports(reports)) => FeedEvent::HealthReports(id, reports),
             Ok(FeedUp::RateReports(reports)) => FeedEvent::RateReports(id, reports),
+            Ok(FeedUp::CrashReports(reports)) => FeedEvent::CrashReports(id, reports),
             Ok(FeedUp::Demand(rate)) => FeedEvent::Demand(id, rate),
             Ok(FeedUp::Heartbeat) => FeedEvent::Heartbeat(id),
             Err(e) => {
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use hornbeam_control::{ProposalId, RaftInput, Voter};
-use hornbeam_discovery::{HealthReports, RateReports, Registry, RegistryParams};
+use hornbeam_discovery::{CrashReports, HealthReports, RateReports, Registry, RegistryParams};
 use hornbeam_model::{InstanceId, Mono, RequestRate};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::control::net::{Incoming, Net};
@@ -69,6 +69,7 @@
     servers_changed: bool,
     health_reports: HealthReports,
     rate_reports: RateReports,
+    crash_reports: CrashReports,
     /// `None` without a data folder and while the disk cannot be used.
     voter: Option<Voter>,
     reopen_at: Mono,
@@ -149,6 +150,7 @@
             servers_changed: false,
             health_reports: HealthReports::default(),
             rate_reports: RateReports::default(),
+            crash_reports: CrashReports::default(),
             voter: None,
             reopen_at: now,
             tables: RecentTables::default(),
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -20,6 +20,8 @@
 
 /// Maximum number of servers in one message about stated rates.
 const MAX_RATE_REPORTS: usize = 500;
+/// Maximum number of crashed runs in one message.
+const MAX_CRASH_REPORTS: usize = 256;
 /// Time since the last message after which an entry no longer counts; longer than a restart.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(15);
 
@@ -193,6 +195,9 @@
                 for reports in self.rate_summary(now) {
                     self.send_to(id, &reports);
                 }
+                for reports in self.crash_reports.all(now).chunks(MAX_CRASH_REPORTS) {
+                    self.send_to(id, &FeedDown::CrashReports(reports.to_vec()));
+                }
             }
             FeedEvent::Heartbeat(id) => {
                 if let Some(feed) = self.feeds.get(&id) {
@@ -217,6 +222,15 @@
                     self.rate_reports.record(now, &feed.info.entry, reports);
                 }
             }
+            FeedEvent::CrashReports(id, reports) => {
+                if let Some(feed) = self.feeds.get(&id) {
+                    self.entry_heard_at.insert(feed.info.entry.clone(), now);
+                    let new = self.crash_reports.record(now, reports);
+                    if !new.is_empty() {
+                        self.broadcast(&FeedDown::CrashReports(new));
+                    }
+                }
+            }
             FeedEvent::FetchTable(id, have) => {
                 if let Some(update) = self.tables.update_from(have) {
                     self.send_to(id, &update);
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -4,12 +4,14 @@
 //! entry merges the feeds of all controllers in a [`directory`]. Nothing in this crate does I/O.
 //!
 //! - [`isolation`]: detects that an entry is isolated
+//! - [`crash_reports`]: requests in flight at servers that ended, collected at a controller
 //! - [`registry`]: the servers registered at one controller
 //! - [`directory`]: the feeds of all controllers, merged at one entry
 //! - [`initial_sync`]: whether an entry has received the controllers' state after its start
 //! - [`health_reports`]: health reports of entries about servers, aggregated at a controller
 //! - [`rate_reports`]: rates that servers state, and the demand for them, aggregated at a controller
 
+pub mod crash_reports;
 pub mod directory;
 pub mod health_reports;
 pub mod initial_sync;
@@ -18,6 +20,7 @@
 pub mod registry;
 pub mod saved_servers;
 
+pub use crash_reports::CrashReports;
 pub use directory::{Directory, ServerUpdate};
 pub use health_reports::HealthReports;
 pub use initial_sync::InitialSync;
--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -34,6 +34,10 @@
 /// longer one before it has read all of it.
 const MAX_REUSE_BODY_BYTES: usize = 8 << 10;
 
+/// Checks after a lost connection, and their interval, before a server counts as running.
+const END_CHECKS: u32 = 2;
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 struct IdleConnection {
     stream: TcpStream,
     expires_at: Instant,
@@ -84,6 +88,30 @@
         self.idle.borrow_mut().remove(server);
     }
 
+    /// Returns true if nothing listens at the address of a server any more. A server that ends closes
+    /// its connections and its listener one after the other, so that one successful connection does
+    /// not show that it is running.
+    pub async fn has_ended(&self, server: &ServerId, address: SocketAddr) -> bool {
+        for _ in 0..END_CHECKS {
+            if !self.has_open_connection(server) {
+                let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+                match connect.await {
+                    Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => return true,
+                    Ok(Ok(_)) => {}
+                    // An unreachable server may be running.
+                    Ok(Err(_)) | Err(_) => return false,
+                }
+            }
+            tokio::time::sleep(END_CHECK_INTERVAL).await;
+        }
+        false
+    }
+
+    fn has_open_connection(&self, server: &ServerId) -> bool {
+        let all = self.idle.borrow();
+        all.get(server).is_some_and(|idle| idle.iter().any(IdleConnection::is_quiet))
+    }
+
     /// Closes connections that have been idle for too long or that their servers have closed.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
-use hornbeam_model::{AttemptId, Fingerprint, Mono, QueryId, RateReport};
+use hornbeam_model::{AttemptId, CrashReport, Fingerprint, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{
@@ -161,6 +161,12 @@
         self.engine.borrow_mut().rate_reports(self.clock.now())
     }
 
+    /// Returns the requests that were in flight at servers that ended: those that have changed since
+    /// the last call, or all of them.
+    pub fn crash_reports(&self, all: bool) -> Vec<CrashReport> {
+        self.engine.borrow_mut().crash_reports(self.clock.now(), all)
+    }
+
     /// Returns the pool of connections to backend servers.
     pub fn backends(&self) -> &Backends {
         &self.backends
@@ -277,6 +283,13 @@
                 self.results.borrow_mut().remove(&attempt);
             }
             Output::CloseIdle(server) => self.backends.close(&server),
+            Output::CheckServer { server, incarnation, address } => {
+                let core = self.clone();
+                tokio::task::spawn_local(async move {
+                    let has_ended = core.backends.has_ended(&server, address).await;
+                    core.step(Input::ServerChecked { server, incarnation, has_ended });
+                });
+            }
             Output::Complete { request, completion } => self.complete(request, completion),
             Output::Log(decision) => self.record_decision(&decision),
             Output::Delegate(delegation) => self.delegate(delegation),
@@ -386,6 +399,11 @@
                 self.metrics.notices.with_label_values(&[label]).inc();
                 "server_rate"
             }
+            Decision::ServerEnded { .. } => "server_ended",
+            Decision::Quarantined { .. } => {
+                self.metrics.quarantines.inc();
+                "quarantined"
+            }
             Decision::RateIgnored { .. } => {
                 self.metrics.notices.with_label_values(&["unreadable"]).inc();
                 "rate_ignored"
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use hornbeam_discovery::{Directory, FeedCounts, ServerUpdate};
-use hornbeam_model::{InstanceId, Mono, RateReport, RequestRate, Routing, TableVersion};
+use hornbeam_model::{
+    CrashReport, InstanceId, Mono, RateReport, RequestRate, Routing, TableVersion,
+};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
@@ -35,6 +37,8 @@
 const CONTROLLER_TTL: Duration = Duration::from_secs(30);
 /// Maximum number of servers in one message about stated rates.
 const MAX_RATE_REPORTS: usize = 500;
+/// Maximum number of crashed runs in one message.
+const MAX_CRASH_REPORTS: usize = 256;
 
 /// An update for the traffic thread.
 #[derive(Debug)]
@@ -51,6 +55,8 @@
     FleetDemand(RequestRate),
     /// Health reports of other entries, summarized by a controller.
     PeerReports(Vec<ServerHealthReport>),
+    /// Requests that were in flight at servers that ended.
+    CrashReports(Vec<CrashReport>),
     /// Rates that servers state, summarized by a controller.
     RateReports(Vec<RateReport>),
     /// All other entries of the same availability zone.
@@ -114,6 +120,8 @@
     pub health: Vec<HealthReport>,
     /// Rates that servers state, with the demand at the entry.
     pub rates: Vec<RateReport>,
+    /// Requests that were in flight at servers that ended; adds to the previous reports.
+    pub crashes: Vec<CrashReport>,
 }
 
 /// Follows the controllers until the traffic thread has ended. Each message of `reload` causes the
@@ -224,6 +232,10 @@
                 // A feed that has just been lost sends them once it is reopened.
                 let _ = feed.tx.send(FeedUp::HealthReports(reports));
             }
+            for crashes in report.crashes.chunks(MAX_CRASH_REPORTS) {
+                // A feed that has just been lost sends them once it is reopened.
+                let _ = feed.tx.send(FeedUp::CrashReports(crashes.to_vec()));
+            }
             let claimed =
                 |r: &&RateReport| self.directory.is_claimed_by(controller, &r.statement.server);
             let rates: Vec<RateReport> = report.rates.iter().filter(claimed).cloned().collect();
@@ -282,6 +294,7 @@
                 None => self.request_table(now, from, TableVersion(0)),
             },
             FeedDown::Table(table) => self.on_table((*table).clone()),
+            FeedDown::CrashReports(reports) => self.publish(FeedEvent::CrashReports(reports)),
             FeedDown::RateReports(reports) => self.publish(FeedEvent::RateReports(reports)),
             FeedDown::Entries(entries) => self.on_entries(from, entries),
             FeedDown::HealthReports(reports) => {
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -265,6 +265,10 @@
         RefusalKind::Overloaded => {
             (StatusCode::SERVICE_UNAVAILABLE, "the backend servers are overloaded: retry later")
         }
+        RefusalKind::Quarantined => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "backend servers have ended while they ran this request: it is not sent to others",
+        ),
         RefusalKind::Failed => (
             StatusCode::BAD_GATEWAY,
             "the backend servers failed; the request may have been executed",
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -29,6 +29,8 @@
     pub connects: IntCounter,
     /// Shard groups delegated to other entries.
     pub delegated_groups: IntCounter,
+    /// Requests that were quarantined because servers ended under them.
+    pub quarantines: IntCounter,
     /// Shard groups gathered for other entries and reported as finished.
     pub gathered_groups: IntCounter,
     /// Requests without a final response.
@@ -60,7 +62,7 @@
             outcomes: counters("hornbeam_entry_outcomes_total", "Attempts ended.", "outcome"),
             notices: counters(
                 "hornbeam_entry_server_notices_total",
-                "Servers that stated that they are leaving or want a pause.",
+                "Servers that stated that they are leaving, want a pause or accept a rate.",
                 "kind",
             ),
             missing_shards: counter(
@@ -68,6 +70,10 @@
                 "Missing shards of merged responses.",
             ),
             connects: counter("hornbeam_entry_connects_total", "Connections opened to servers."),
+            quarantines: counter(
+                "hornbeam_entry_quarantines_total",
+                "Requests that were quarantined because servers ended under them.",
+            ),
             delegated_groups: counter(
                 "hornbeam_entry_groups_given_total",
                 "Shard groups delegated to other entries.",
--- a/crates/hornbeam_entry/tests/crashing_requests.rs
+++ b/crates/hornbeam_entry/tests/crashing_requests.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hornbeam_entry::core::Reply;
+use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -66,7 +67,6 @@
 
 /// Each repeat of the request would end another server, until none is left.
 #[test]
-#[ignore = "known red"]
 fn repeats_end_servers() {
     run_local(async {
         let ended = Rc::new(Cell::new(0));
@@ -80,3 +80,31 @@
         assert!(matches!(reply, Reply::Forward(_)), "{reply:?}");
     });
 }
+
+/// Requests in flight beside the crashing one are lost with their servers, but are not quarantined.
+#[test]
+fn innocent_requests() {
+    run_local(async {
+        let ended = Rc::new(Cell::new(0));
+        let core = core_of(&start_servers(&ended).await, true);
+        for i in 0..REPEATS {
+            let crashing = core.clone();
+            tokio::task::spawn_local(async move {
+                request_path(&crashing, &format!("c{i}"), CRASHING).await
+            });
+            for beside in 0..2 {
+                let core = core.clone();
+                let id = format!("b{i}-{beside}");
+                tokio::task::spawn_local(async move { request_path(&core, &id, SOUND).await });
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        for i in 0..5 {
+            let reply = request_path(&core, &format!("s{i}"), SOUND).await;
+            assert!(matches!(reply, Reply::Forward(_)), "{reply:?}");
+        }
+        let reply = request_path(&core, "c", CRASHING).await;
+        let Reply::Refuse(refusal) = reply else { panic!("{reply:?}") };
+        assert_eq!(refusal.kind, RefusalKind::Quarantined);
+    });
+}
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`time`]: monotonic time of the state machines
 //! - [`shards`]: sets of shards as sorted inclusive ranges
 //! - [`server`]: announcements of backend servers
+//! - [`crash`]: runs of requests during which their backend server ended
 //! - [`fingerprint`]: recognizes a request that a caller repeats
 //! - [`hit`]: search hits and their ranking
 //! - [`rate`]: request rates
@@ -16,6 +17,7 @@
 
 pub mod change;
 pub mod config;
+pub mod crash;
 pub mod fingerprint;
 pub mod hit;
 pub mod ids;
@@ -30,6 +32,7 @@
 
 pub use change::{Change, ChangeError};
 pub use config::{Budgets, Config, ConfigError, Limits, Prefer, Service};
+pub use crash::{CrashReport, CrashedRun, RunSpan};
 pub use fingerprint::Fingerprint;
 pub use hit::Hit;
 pub use ids::{
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use hornbeam_model::{
-    Incarnation, InstanceId, RateReport, RequestRate, Routing, RoutingDelta, ServerId, ServiceId,
-    TableVersion, Zone,
+    CrashReport, Incarnation, InstanceId, RateReport, RequestRate, Routing, RoutingDelta, ServerId,
+    ServiceId, TableVersion, Zone,
 };
 use serde::{Deserialize, Serialize};
 
@@ -131,6 +131,9 @@
     /// Rates that servers state, with the demand at all entries together; sent at each
     /// [`FEED_HEARTBEAT_INTERVAL_MS`] and at the start of a feed.
     RateReports(Vec<RateReport>),
+    /// Requests that were in flight at servers that ended: all at the start of a feed, then those
+    /// that change.
+    CrashReports(Vec<CrashReport>),
 }
 
 /// Messages of a feed from an entry to a controller.
@@ -153,6 +156,8 @@
     /// Rates that servers state, with the demand at the entry. Replaces its previous report on each of
     /// these servers.
     RateReports(Vec<RateReport>),
+    /// Requests that were in flight at servers that ended; adds to the previous reports.
+    CrashReports(Vec<CrashReport>),
 }
 
 /// Longest time between two messages of a feed in either direction, in milliseconds.
--- /dev/null
+++ b/crates/hornbeam_route/src/crash_history.rs
@@ -0,0 +1,178 @@
+//! Requests that end the servers that run them, recognized by their fingerprints.
+//!
+//! Load pattern: a request ends each server that begins to run it, and its caller sends it again, to
+//! any entry. Every request in flight at a server that ends is a suspect. What tells the culprit from
+//! the requests beside it:
+//!
+//! - It has ended servers one after the other. Runs that overlap in time count once, since one event,
+//!   such as the loss of a rack, may have ended their servers.
+//! - It has never got a response. A response clears a request of all its runs.
+//! - It explains the most ends. An end that a quarantined request explains counts for no other one.
+//!
+//! All entries learn all runs and come to the same conclusion. Replayed in `tests/crash_suspects`.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use hornbeam_model::{CrashReport, CrashedRun, Fingerprint, Mono};
+use indexmap::IndexMap;
+
+/// Servers that a request must have ended, one after the other, before it is quarantined.
+const QUARANTINE_CRASHES: usize = 3;
+/// Time after its last run for which a request is a suspect or quarantined.
+const RUN_TTL: Duration = Duration::from_secs(600);
+/// Runs that are kept for each request; the oldest is dropped.
+const MAX_RUNS: usize = 8;
+/// Maximum number of requests with runs; the one with the fewest crashes is dropped.
+const MAX_SUSPECTS: usize = 1_024;
+
+/// A run, and whether other entries have to be told of it.
+#[derive(Debug)]
+struct KnownRun {
+    run: CrashedRun,
+    unreported: bool,
+}
+
+/// Runs during which servers ended, by request, and the requests that are not sent any more.
+#[derive(Debug, Default)]
+pub struct CrashHistory {
+    suspects: IndexMap<Fingerprint, Vec<KnownRun>>,
+    /// End of the quarantine of each request.
+    quarantined: IndexMap<Fingerprint, Mono>,
+}
+
+impl CrashHistory {
+    /// Returns the end of the quarantine of a request, if it is quarantined.
+    pub fn quarantined_until(&self, now: Mono, fingerprint: Fingerprint) -> Option<Mono> {
+        self.quarantined.get(&fingerprint).copied().filter(|until| now < *until)
+    }
+
+    /// Returns the requests that are quarantined.
+    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
+        self.quarantined.keys().copied()
+    }
+
+    /// Returns the number of servers that a request has ended one after the other, as far as no
+    /// response has cleared it.
+    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
+        self.suspects.get(&fingerprint).map_or(0, |runs| successive_crashes(runs, &[]))
+    }
+
+    /// Records a run that this entry has observed.
+    pub fn record(&mut self, now: Mono, run: CrashedRun) {
+        if self.insert(now, run, true) {
+            self.update_quarantine(now);
+        }
+    }
+
+    /// Records the runs that other entries have reported.
+    pub fn record_reports(&mut self, now: Mono, reports: Vec<CrashReport>) {
+        let mut changed = false;
+        for report in reports {
+            changed |= self.insert(now, report.into_run(now), false);
+        }
+        if changed {
+            self.update_quarantine(now);
+        }
+    }
+
+    /// Records that a request got a response from a server that ran it: it ends no servers.
+    pub fn clear(&mut self, now: Mono, fingerprint: Fingerprint) {
+        let Some(runs) = self.suspects.get_mut(&fingerprint) else { return };
+        let mut changed = false;
+        for known in runs.iter_mut().filter(|known| !known.run.cleared) {
+            known.run.cleared = true;
+            known.unreported = true;
+            changed = true;
+        }
+        if changed {
+            self.update_quarantine(now);
+        }
+    }
+
+    /// Returns the runs that have changed since the last call, or all of them, to report them.
+    pub fn reports(&mut self, now: Mono, all: bool) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for known in self.suspects.values_mut().flatten() {
+            if std::mem::take(&mut known.unreported) || all {
+                reports.push(known.run.report(now));
+            }
+        }
+        reports
+    }
+
+    /// Adds a run or clears a known one; returns true if this changes anything.
+    fn insert(&mut self, now: Mono, run: CrashedRun, unreported: bool) -> bool {
+        let oldest = now.0 as i64 - RUN_TTL.as_micros() as i64;
+        if run.span.ended < oldest {
+            return false;
+        }
+        self.suspects.retain(|_, runs| {
+            runs.retain(|known| known.run.span.ended >= oldest);
+            !runs.is_empty()
+        });
+        if !self.suspects.contains_key(&run.fingerprint) && self.suspects.len() >= MAX_SUSPECTS {
+            self.drop_least_suspect();
+        }
+        let runs = self.suspects.entry(run.fingerprint).or_default();
+        if let Some(known) = runs.iter_mut().find(|known| known.run.is_same_run(&run)) {
+            let newly_cleared = run.cleared && !known.run.cleared;
+            known.run.cleared |= run.cleared;
+            return newly_cleared;
+        }
+        runs.push(KnownRun { run, unreported });
+        runs.sort_by_key(|known| known.run.span.ended);
+        if runs.len() > MAX_RUNS {
+            runs.remove(0);
+        }
+        true
+    }
+
+    fn drop_least_suspect(&mut self) {
+        let least = self.suspects.iter().min_by_key(|(_, runs)| {
+            let last = runs.last().map_or(i64::MIN, |known| known.run.span.ended);
+            (successive_crashes(runs, &[]), last)
+        });
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.suspects.swap_remove(&fingerprint);
+        }
+    }
+
+    /// Quarantines the request that explains the most ends of servers, as long as there is one with
+    /// enough of them that no other one explains.
+    fn update_quarantine(&mut self, now: Mono) {
+        self.quarantined.clear();
+        let mut explained: Vec<CrashedRun> = Vec::new();
+        loop {
+            let by_crashes = self.suspects.iter().map(|(fingerprint, runs)| {
+                (successive_crashes(runs, &explained), runs.len(), Reverse(*fingerprint))
+            });
+            let Some((crashes, _, Reverse(fingerprint))) = by_crashes.max() else { return };
+            if crashes < QUARANTINE_CRASHES {
+                return;
+            }
+            let runs = &self.suspects[&fingerprint];
+            let uncleared = runs.iter().map(|known| &known.run).filter(|run| !run.cleared);
+            let last = uncleared.clone().map(|run| run.span.ended).max().unwrap_or_default();
+            explained.extend(uncleared.cloned());
+            let age = Duration::from_micros((now.0 as i64 - last).max(0) as u64);
+            self.quarantined.insert(fingerprint, now + RUN_TTL.saturating_sub(age));
+        }
+    }
+}
+
+/// Counts the runs that no response has cleared and no other request explains, of those that overlap
+/// only one. The runs are in the order of their ends, so taking each one that begins after the last
+/// one taken gives the largest number.
+fn successive_crashes(runs: &[KnownRun], explained: &[CrashedRun]) -> usize {
+    let mut count = 0;
+    let mut last_end = i64::MIN;
+    for run in runs.iter().map(|known| &known.run) {
+        let counts = !run.cleared && !explained.iter().any(|other| other.is_same_end(run));
+        if counts && run.span.began >= last_end {
+            count += 1;
+            last_end = run.span.ended;
+        }
+    }
+    count
+}
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -176,6 +176,20 @@
     /// A server asked for a pause of a time that cannot be read; the refusal counts as load
     /// shedding only.
     PauseIgnored { request: SmolStr, server: ServerId },
+    /// A server has ended while a request was in flight there. The request has now ended `crashes`
+    /// servers one after the other, as far as no response has cleared it.
+    ServerEnded {
+        server: ServerId,
+        #[serde(serialize_with = "serialize_text")]
+        fingerprint: Fingerprint,
+        crashes: usize,
+    },
+    /// A request is not sent to servers any more, because it has ended `crashes` servers.
+    Quarantined {
+        #[serde(serialize_with = "serialize_text")]
+        fingerprint: Fingerprint,
+        crashes: usize,
+    },
     /// A server states another rate of requests that it accepts from all entries together, or none
     /// any more. `entries` share it.
     ServerRate { server: ServerId, service: ServiceId, rate: Option<RequestRate>, entries: u32 },
@@ -207,6 +221,8 @@
                 | Self::ZoneUnreachable { .. }
                 | Self::PauseIgnored { .. }
                 | Self::RateIgnored { .. }
+                | Self::ServerEnded { .. }
+                | Self::Quarantined { .. }
                 | Self::GroupFailed { .. }
                 | Self::PeerSuspected { .. }
         ) || matches!(self, Self::Answered { missing, .. } | Self::Gathered { missing, .. } if *missing > 0)
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -88,6 +88,10 @@
             Target::Scatter(scatter) => scatter.min_shards(),
             Target::Single(_) | Target::Split(_) => 1,
         };
+        if let Some(until) = self.crash_history.quarantined_until(now, arrival.fingerprint) {
+            let (kind, wait) = (RefusalKind::Quarantined, Some(until.since(now)));
+            return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
+        }
         if let Some((kind, wait)) =
             self.admission_refusal(now, &route, &services, min_shards, delegates)
         {
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -30,6 +30,11 @@
         self.record_outcome(now, &in_flight, outcome, out);
         self.apply_notice(now, &in_flight, notice, out);
         self.record_stated_rate(now, &in_flight, outcome, notice.rate, out);
+        match outcome {
+            AttemptOutcome::Answered => self.crash_history.clear(now, in_flight.fingerprint),
+            AttemptOutcome::ConnectionLost => self.check_server(now, &in_flight, out),
+            _ => {}
+        }
         let service = self.servers[in_flight.server].service;
         match in_flight.request {
             Some(key) => self.apply_outcome(now, key, &in_flight, attempt, outcome, out),
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -118,7 +118,12 @@
             }
             return out.push(Output::Complete { request: key, completion });
         }
-        let kind = if running.may_have_run() { RefusalKind::Failed } else { RefusalKind::NoServer };
+        let quarantined = self.quarantined_until(now, key).is_some();
+        let kind = match running.may_have_run() {
+            true => RefusalKind::Failed,
+            false if quarantined => RefusalKind::Quarantined,
+            false => RefusalKind::NoServer,
+        };
         self.refuse(now, key, kind, out);
     }
 
@@ -128,7 +133,10 @@
         let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
         let delegates = !running.groups.is_empty();
         let prospects = self.prospects(now, &running.route, &services, delegates);
-        let wait = prospects.time_until(running.min_shards);
+        let quarantined = self.crash_history.quarantined_until(now, running.fingerprint);
+        let wait = quarantined
+            .map(|until| until.since(now))
+            .or_else(|| prospects.time_until(running.min_shards));
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
         self.log_refusal(now, &running, kind, Some(refusal), out);
         out.push(Output::Complete { request: key, completion: Completion::Refuse(refusal) });
--- /dev/null
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -0,0 +1,133 @@
+//! Requests that end the servers that run them.
+//!
+//! A lost connection makes the request in flight a suspect only once a check has shown that the
+//! server has ended. A quarantined request reaches no server: not as a first attempt, from the queue,
+//! as a hedge, retry or probe, and not in a group of another entry.
+
+use hornbeam_model::{
+    CrashReport, CrashedRun, Fingerprint, Incarnation, Mono, QueryId, RunSpan, ServerId,
+};
+
+use super::{Engine, InFlightAttempt, Output};
+use crate::decision::Decision;
+
+/// Runs whose connections to a server were lost, until it is known whether the server has ended.
+#[derive(Debug)]
+pub(super) struct PendingCheck {
+    incarnation: Incarnation,
+    runs: Vec<(Fingerprint, RunSpan)>,
+}
+
+impl Engine {
+    /// Returns the runs during which servers ended, to report them to the other entries: those that
+    /// have changed since the last call, or all of them.
+    pub fn crash_reports(&mut self, now: Mono, all: bool) -> Vec<CrashReport> {
+        self.crash_history.reports(now, all)
+    }
+
+    /// Returns the end of the quarantine of a running request, if it is quarantined.
+    pub(super) fn quarantined_until(&self, now: Mono, key: QueryId) -> Option<Mono> {
+        let running = self.requests.get(&key)?;
+        self.crash_history.quarantined_until(now, running.fingerprint)
+    }
+
+    /// Checks whether a server to which a connection was lost has ended.
+    pub(super) fn check_server(
+        &mut self,
+        now: Mono,
+        in_flight: &InFlightAttempt,
+        out: &mut Vec<Output>,
+    ) {
+        let server = &self.servers[in_flight.server];
+        let span = RunSpan { began: in_flight.sent_at.0 as i64, ended: now.0 as i64 };
+        let run = (in_flight.fingerprint, span);
+        let (id, incarnation, address) = (server.id.clone(), server.incarnation, server.address);
+        match self.pending_checks.get_mut(&id) {
+            Some(check) if check.incarnation == incarnation => check.runs.push(run),
+            _ => {
+                let check = PendingCheck { incarnation, runs: vec![run] };
+                self.pending_checks.insert(id.clone(), check);
+                out.push(Output::CheckServer { server: id, incarnation, address });
+            }
+        }
+    }
+
+    pub(super) fn on_server_checked(
+        &mut self,
+        now: Mono,
+        (server, incarnation): (&ServerId, Incarnation),
+        has_ended: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let check = self.pending_checks.get(server);
+        if check.is_none_or(|check| check.incarnation != incarnation) {
+            return;
+        }
+        let Some(check) = self.pending_checks.swap_remove(server) else { return };
+        if !has_ended {
+            return;
+        }
+        if let Some(idx) = self.server_names.get(server).copied()
+            && self.servers[idx].incarnation == incarnation
+        {
+            self.servers[idx].eject(now);
+            out.push(Output::CloseIdle(server.clone()));
+        }
+        let mut suspects = Vec::new();
+        for (fingerprint, span) in check.runs {
+            let cleared = false;
+            let server = server.clone();
+            let run = CrashedRun { fingerprint, server, incarnation, span, cleared };
+            self.crash_history.record(now, run);
+            suspects.push((fingerprint, self.crash_history.crashes(fingerprint)));
+        }
+        for (fingerprint, crashes) in suspects {
+            out.push(Output::Log(Decision::ServerEnded {
+                server: server.clone(),
+                fingerprint,
+                crashes,
+            }));
+        }
+        self.drop_quarantined(now, out);
+    }
+
+    pub(super) fn on_crash_reports(
+        &mut self,
+        now: Mono,
+        reports: Vec<CrashReport>,
+        out: &mut Vec<Output>,
+    ) {
+        self.crash_history.record_reports(now, reports);
+        self.drop_quarantined(now, out);
+    }
+
+    /// Ends the queued shards of quarantined requests, and logs each quarantine once.
+    fn drop_quarantined(&mut self, now: Mono, out: &mut Vec<Output>) {
+        let quarantined: Vec<Fingerprint> = self.crash_history.quarantined().collect();
+        for fingerprint in &quarantined {
+            if !self.logged_quarantines.contains(fingerprint) {
+                let crashes = self.crash_history.crashes(*fingerprint);
+                out.push(Output::Log(Decision::Quarantined { fingerprint: *fingerprint, crashes }));
+            }
+        }
+        let is_known = self.logged_quarantines == quarantined;
+        self.logged_quarantines = quarantined;
+        if is_known {
+            return;
+        }
+        let mut keys: Vec<QueryId> = self.requests.keys().copied().collect();
+        keys.retain(|key| self.quarantined_until(now, *key).is_some());
+        keys.sort_unstable();
+        for key in keys {
+            let Some(running) = self.requests.get(&key) else { continue };
+            let shards = running.shards.iter().enumerate();
+            let waiting: Vec<usize> =
+                shards.filter(|(_, s)| s.is_waiting()).map(|(i, _)| i).collect();
+            for shard in waiting {
+                self.dequeue(key, shard);
+                self.mark_missing(key, shard);
+            }
+            self.complete_if_decided(now, key, out);
+        }
+    }
+}
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -90,7 +90,9 @@
     ) -> bool {
         let Some(running) = self.requests.get(&key) else { return true };
         let progress = &running.shards[shard];
-        if progress.possible_runs >= running.allowed_attempts() {
+        if progress.possible_runs >= running.allowed_attempts()
+            || self.quarantined_until(now, key).is_some()
+        {
             return false;
         }
         let (service, tried) = (progress.service, progress.tried.clone());
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Fingerprint, Incarnation, InstanceId, QueryId, RateReport, RequestRate, Route,
-    Routing, ServerId, ServiceId, Zone,
+    AttemptId, CrashReport, Fingerprint, Incarnation, InstanceId, QueryId, RateReport, RequestRate,
+    Route, Routing, ServerId, ServiceId, Zone,
 };
 use smol_str::SmolStr;
 
@@ -124,6 +124,17 @@
     PeerHealthReports(Vec<ServerHealthReport>),
     /// A controller reported the rates that servers state, with the demand at all entries together.
     RateReports(Vec<RateReport>),
+    /// A controller reported requests that were in flight at servers that ended.
+    CrashReports(Vec<CrashReport>),
+    /// The result of [`Output::CheckServer`].
+    ServerChecked {
+        /// Identifies the server.
+        server: ServerId,
+        /// Start of the server that was checked.
+        incarnation: Incarnation,
+        /// True if nothing listens at its address any more.
+        has_ended: bool,
+    },
     /// The other entries of this entry's zone, as a complete list.
     Peers(Vec<Peer>),
     /// A message from another entry arrived.
@@ -281,6 +292,15 @@
     Discard(AttemptId),
     /// Close the idle connections to a server.
     CloseIdle(ServerId),
+    /// Check whether a server has ended, and report the result as [`Input::ServerChecked`].
+    CheckServer {
+        /// Identifies the server.
+        server: ServerId,
+        /// Start of the server.
+        incarnation: Incarnation,
+        /// Address on which it accepted requests.
+        address: SocketAddr,
+    },
     /// Delegate a shard group to another entry.
     Delegate(Delegation),
     /// Confirm to the gathering entry that a group is not reclaimed, so that it may hedge and
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -7,6 +7,7 @@
 //! - [`notices`]: servers that leave or ask for a pause in their responses
 //! - [`rates`]: servers that state the rate of requests that they accept
 //! - [`hedging`]: hedged requests for late shards
+//! - [`crashes`]: requests that end the servers that run them
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
 //! - [`gathering`]: shard groups gathered for other entries
@@ -16,6 +17,7 @@
 mod admission;
 mod attempts;
 mod completion;
+mod crashes;
 mod delegation;
 mod gathering;
 mod hedging;
@@ -47,6 +49,7 @@
     Attempt, AttemptOutcome, Completion, Counters, Delegation, EngineParams, GroupEvent, Input,
     Output, ServerChange, ServerHealthReport,
 };
+use crate::crash_history::CrashHistory;
 use crate::decision::AttemptKind;
 use crate::demand::Demand;
 use crate::notice::LeavingServers;
@@ -105,6 +108,11 @@
     /// Ends of the pauses that servers asked for, also of servers that are not known meanwhile.
     pauses: HashMap<ServerId, (Incarnation, Mono)>,
     rate_limits: RateLimits,
+    crash_history: CrashHistory,
+    /// Servers that are being checked; bounded by the attempts in flight.
+    pending_checks: IndexMap<ServerId, crashes::PendingCheck>,
+    /// Quarantined requests as they were logged last.
+    logged_quarantines: Vec<Fingerprint>,
     zones: ZoneReachability,
     /// True while this entry is isolated and other entries serve callers better.
     isolated: bool,
@@ -146,6 +154,9 @@
             leaving: LeavingServers::default(),
             pauses: HashMap::new(),
             rate_limits: RateLimits::default(),
+            crash_history: CrashHistory::default(),
+            pending_checks: IndexMap::new(),
+            logged_quarantines: Vec::new(),
             zones: ZoneReachability::default(),
             isolated: false,
             awaiting_table: IndexMap::new(),
@@ -207,6 +218,10 @@
             }
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
             Input::RateReports(reports) => self.on_rate_reports(now, reports, out),
+            Input::CrashReports(reports) => self.on_crash_reports(now, reports, out),
+            Input::ServerChecked { server, incarnation, has_ended } => {
+                self.on_server_checked(now, (&server, incarnation), has_ended, out)
+            }
             Input::Peers(peers) => self.peers.replace(peers),
             Input::PeerAlive(peer) => self.restore_peer(&peer, out),
             Input::PeerLeaving(peer) => self.suspect_peer(now, &peer, out),
--- a/crates/hornbeam_route/src/engine/notices.rs
+++ b/crates/hornbeam_route/src/engine/notices.rs
@@ -16,11 +16,16 @@
 
 impl Engine {
     /// Returns true if an attempt may be written to its server now: its response is still needed,
-    /// and the server has neither left nor asked for a pause since the attempt was planned.
+    /// the server has neither left nor asked for a pause since the attempt was planned, and the
+    /// request is not quarantined.
     pub fn may_send(&self, now: Mono, attempt: AttemptId) -> bool {
         let Some(in_flight) = self.attempts.get(&attempt) else { return false };
         let server = &self.servers[in_flight.server];
-        in_flight.request.is_some() && server.usable && !server.is_paused(now)
+        let quarantined = self.crash_history.quarantined_until(now, in_flight.fingerprint);
+        in_flight.request.is_some()
+            && server.usable
+            && !server.is_paused(now)
+            && quarantined.is_none()
     }
 
     /// Applies what a server stated in the response to an attempt.
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// Sends a shard to the server chosen for it; returns false if the retry budget does not allow
-    /// it.
+    /// Sends a shard to the server chosen for it; returns false if the request is quarantined or the
+    /// retry budget does not allow it.
     fn send_if_allowed(
         &mut self,
         now: Mono,
@@ -128,6 +128,9 @@
         (server, cost): (usize, f64),
         out: &mut Vec<Output>,
     ) -> bool {
+        if self.quarantined_until(now, key).is_some() {
+            return false;
+        }
         let kind = self.next_kind(key, shard);
         let service = self.servers[server].service;
         if kind == AttemptKind::Retry && !self.retry_allowed(now, key, service) {
@@ -166,6 +169,9 @@
         others_suffice: bool,
         out: &mut Vec<Output>,
     ) {
+        if self.quarantined_until(now, key).is_some() {
+            return self.mark_missing(key, shard);
+        }
         let Some(running) = self.requests.get_mut(&key) else { return };
         let progress = &mut running.shards[shard];
         let (service, attempts) = (progress.service, progress.attempts);
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -4,6 +4,7 @@
 //! of an index, whose responses are merged. This crate does no I/O.
 //!
 //! - [`budget`]: limit on hedges and retries per service
+//! - [`crash_history`]: requests that end the servers that run them
 //! - `demand`: request rate of this entry and its part of that of all entries
 //! - `rate_meter`: mean rate of requests
 //! - [`rate_limit`]: this entry's part of the rates that servers state
@@ -19,6 +20,7 @@
 //! - [`engine`]: state machine of all requests of one entry, `step(now, input) -> outputs`
 
 pub mod budget;
+pub mod crash_history;
 pub mod decision;
 mod demand;
 pub mod engine;
@@ -34,6 +36,7 @@
 pub mod zones;
 
 pub use budget::{RetryBudget, RetryBudgetParams};
+pub use crash_history::CrashHistory;
 pub use decision::{AttemptKind, Decision, GroupFailure};
 pub use engine::{
     Attempt, AttemptOutcome, Completion, Counters, Delegation, Engine, EngineParams, GroupEvent,
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -27,6 +27,8 @@
     NoServer,
     /// The expected wait is too long or the entry is at its limit; the request has not run.
     Overloaded,
+    /// Servers have ended under the same request before; it has not run this time.
+    Quarantined,
     /// Servers failed; the request may have run.
     Failed,
     /// The deadline has passed; the request may have run.
@@ -38,7 +40,10 @@
 impl RefusalKind {
     /// Returns true if the request has not run and will not run.
     pub fn has_not_run(self) -> bool {
-        matches!(self, Self::NoTable | Self::NoRoute | Self::NoServer | Self::Overloaded)
+        matches!(
+            self,
+            Self::NoTable | Self::NoRoute | Self::NoServer | Self::Overloaded | Self::Quarantined
+        )
     }
 }
 
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -778,7 +778,7 @@
                     }
                 }
             }
-            Output::CloseIdle(_) | Output::Discard(_) => {}
+            Output::CheckServer { .. } | Output::CloseIdle(_) | Output::Discard(_) => {}
             Output::Complete { request, completion } => {
                 let (route, at) = self.running.remove(&request).expect("a request completes once");
                 let returned = self.returned.remove(&request);
