--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,8 +77,6 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let Ok(caller) = stream.peer_addr() else { return };
-    let caller = caller.ip();
     let limits = core.with_engine(|e| e.table().map(|t| t.limits.clone())).unwrap_or_default();
     let header_read_timeout = Duration::from_millis(u64::from(limits.idle_timeout_ms))
         + Duration::from_millis(u64::from(limits.header_timeout_ms));
@@ -88,7 +85,7 @@
     let service = service_fn(move |req| {
         let (core, stage, opened) =
             (core.clone(), *current_stage.borrow(), is_first.replace(false));
-        async move { Ok::<_, Infallible>(handle_request(core, req, caller, opened, stage).await) }
+        async move { Ok::<_, Infallible>(handle_request(core, req, opened, stage).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -127,11 +124,10 @@
 async fn handle_request(
     core: Rc<Core>,
     req: Request<Incoming>,
-    caller: IpAddr,
     opened_connection: bool,
     stage: Stage,
 ) -> Response<Full<Bytes>> {
-    let mut response = match read_request(&core, req, caller, opened_connection).await {
+    let mut response = match read_request(&core, req, opened_connection).await {
         Ok(received) => {
             let (key, rx) = core.start_request(received);
             let guard = CallerGuard { core: core.clone(), key };
@@ -158,7 +154,6 @@
 async fn read_request(
     core: &Rc<Core>,
     req: Request<Incoming>,
-    caller: IpAddr,
     opened_connection: bool,
 ) -> Result<ReceivedRequest, Response<Full<Bytes>>> {
     let (head, body) = req.into_parts();
@@ -194,7 +189,10 @@
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let path = SmolStr::new(head.uri.path());
     let target = target.to_owned();
-    let fingerprint = Fingerprint::new(caller, head.method.as_str(), &host, &target, &body);
+    let credentials =
+        head.headers.get(header::AUTHORIZATION).map_or(&b""[..], HeaderValue::as_bytes);
+    let (method, query) = (head.method.as_str(), head.uri.query().unwrap_or_default());
+    let fingerprint = Fingerprint::new(credentials, method, &host, &path, query).with_body(&body);
     let headers = end_to_end(head.headers);
     let head = request_head(&core.dialect, &head.method, &target, &headers, &body);
     let forwarded = ForwardedRequest { id, fingerprint, head, body };
--- a/crates/hornbeam_entry/tests/crashing_requests.rs
+++ b/crates/hornbeam_entry/tests/crashing_requests.rs
@@ -81,6 +81,20 @@
     });
 }
 
+/// Repeats come from other addresses, and each has a parameter of its own.
+#[test]
+fn changing_parameter() {
+    run_local(async {
+        let ended = Rc::new(Cell::new(0));
+        let core = core_of(&start_servers(&ended).await, false);
+        for i in 0..REPEATS {
+            request_path(&core, &format!("c{i}"), &format!("{CRASHING}?try={i}")).await;
+            tokio::time::sleep(PAUSE).await;
+        }
+        assert!(ended.get() <= MAX_ENDED, "{} of {SERVERS} servers ended", ended.get());
+    });
+}
+
 /// Requests in flight beside the crashing one are lost with their servers, but are not quarantined.
 #[test]
 fn innocent_requests() {
