Fleet tests of a crashing request and of a stated rate

Real entries and controllers: a request that ends its servers comes to four entries in turn, one of which restarts with a controller in between; one of two servers states a rate below its part of the load. Stand-ins end at a path and state a rate on demand.

--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -161,7 +161,12 @@
         Ok(run)
     }
 
-    async fn add_server(&mut self, service: &str) -> Result<(), String> {
+    /// Starts another server of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its address cannot be bound.
+    pub async fn add_server(&mut self, service: &str) -> Result<(), String> {
         let n = self.next_server;
         self.next_server += 1;
         let valid = "a valid name";
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -10,7 +10,7 @@
 use hornbeam_protocol::discovery::{ClaimOrder, LifeStage, ServerClaim, ServerInfo};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::AbortHandle;
 
 /// Event that a stand-in reports to its owner.
@@ -85,6 +85,10 @@
 const MAX_PENDING: usize = 12;
 /// Pause that a stand-in with [`RoutedFault::Pause`] asks for, in milliseconds.
 pub const PAUSE_MS: u64 = 1_200;
+/// Rate that a stand-in with [`RoutedFault::RateLimit`] states, in requests a second.
+pub const STATED_RATE: f64 = 6.0;
+/// End of the path of requests that end each stand-in that runs them.
+pub const CRASH_PATH: &str = "/crash";
 /// Records in each response.
 const RECORDS_PER_RESPONSE: u8 = 6;
 
@@ -110,9 +114,11 @@
     Reset,
     /// Runs requests and sends bytes that are not an HTTP response.
     Garbage,
+    /// Responds correctly and states that it accepts [`STATED_RATE`].
+    RateLimit,
 }
 
-/// Every fault except [`RoutedFault::None`].
+/// Every fault except [`RoutedFault::None`], and the stated rate, whose check needs more time.
 pub const ROUTED_FAULTS: [RoutedFault; 8] = [
     RoutedFault::Unresponsive,
     RoutedFault::Slow,
@@ -134,6 +140,10 @@
     incarnation: u64,
     /// Number of requests that run or wait.
     pending: AtomicU32,
+    /// Number of requests that arrived.
+    arrivals: AtomicU32,
+    /// True once a request has ended the server.
+    ended: watch::Sender<bool>,
     slots: Semaphore,
     client: reqwest::Client,
 }
@@ -168,11 +178,15 @@
         draining: AtomicBool::new(false),
         incarnation: now.as_millis() as u64,
         pending: AtomicU32::new(0),
+        arrivals: AtomicU32::new(0),
+        ended: watch::Sender::new(false),
         slots: Semaphore::new(SLOTS as usize),
         client: reqwest::Client::builder().no_proxy().build().unwrap_or_default(),
     });
-    let accept = tokio::spawn(server.clone().accept(listener)).abort_handle();
-    let heartbeats = tokio::spawn(server.clone().send_heartbeats()).abort_handle();
+    let accept = server.clone().until_end(server.clone().accept(listener));
+    let accept = tokio::spawn(accept).abort_handle();
+    let heartbeats = server.clone().until_end(server.clone().send_heartbeats());
+    let heartbeats = tokio::spawn(heartbeats).abort_handle();
     Ok(Running { server, tasks: vec![accept, heartbeats] })
 }
 
@@ -205,6 +219,26 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the number of requests that arrived at the server.
+    pub fn arrivals(&self) -> u32 {
+        self.arrivals.load(Ordering::Relaxed)
+    }
+
+    /// Returns true once a request has ended the server.
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
+    /// Runs a task of the server until a request ends the server.
+    async fn until_end(self: Arc<Self>, task: impl Future<Output = ()>) {
+        let mut ended = self.ended.subscribe();
+        tokio::select! {
+            () = task => {}
+            // The sender is kept as long as the server.
+            _ = ended.wait_for(|ended| *ended) => {}
+        }
+    }
+
     async fn send_heartbeats(self: Arc<Self>) {
         let controllers = &self.params.controllers;
         let mut next = 0;
@@ -251,7 +285,7 @@
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(self.clone().serve(stream));
+            tokio::spawn(self.clone().until_end(self.clone().serve(stream)));
         }
     }
 
@@ -276,6 +310,7 @@
         }
         let (service, server) = (self.params.service.as_str(), self.params.name.as_str());
         (self.params.on_event)(ServerEvent::RequestArrived { request: id, server });
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
         let pending = self.pending.fetch_add(1, Ordering::Relaxed);
         let asks_pause = self.has_fault(RoutedFault::Pause);
         if asks_pause || self.has_fault(RoutedFault::Shed) || pending as usize >= MAX_PENDING {
@@ -296,6 +331,10 @@
         (self.params.on_event)(ServerEvent::RequestStarted { request: id, service, server });
         let slow = if self.has_fault(RoutedFault::Slow) { 12 } else { 1 };
         tokio::time::sleep(self.params.work * slow).await;
+        if request.path.ends_with(CRASH_PATH) {
+            self.ended.send_replace(true);
+            return false;
+        }
         drop(slot);
         self.pending.fetch_sub(1, Ordering::Relaxed);
         let body = records(service, id);
@@ -305,9 +344,14 @@
         } else {
             ""
         };
+        let rate = if self.has_fault(RoutedFault::RateLimit) {
+            format!("hornbeam-rate-limit: {STATED_RATE}\r\n")
+        } else {
+            String::new()
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nhornbeam-request-id: {id}\r\nhornbeam-signature: {id}.{}\r\n\
-             {leaving}content-length: {}\r\n\r\n",
+             {leaving}{rate}content-length: {}\r\n\r\n",
             service,
             body.len()
         );
@@ -336,6 +380,8 @@
 /// Header values of a request that the stand-in uses.
 struct ReceivedRequest {
     id: String,
+    /// Path without the query string, in lower case.
+    path: String,
     expected_server: String,
 }
 
@@ -349,7 +395,10 @@
             };
             let length: usize = header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
             if buf.len() >= end + 4 + length {
+                let target = head.split(' ').nth(1).unwrap_or_default();
+                let path = target.split('?').next().unwrap_or_default().to_owned();
                 let request = ReceivedRequest {
+                    path,
                     id: header("hornbeam-request-id").unwrap_or_default(),
                     expected_server: header("hornbeam-expected-server").unwrap_or_default(),
                 };
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -12,7 +12,7 @@
 use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind};
 use hornbeam_soak::run::{FleetRun, Options, run_seed, table};
 use hornbeam_standin::LoadReport;
-use hornbeam_standin::routed::RoutedFault;
+use hornbeam_standin::routed::{RoutedFault, STATED_RATE};
 use rustix::process::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -369,3 +369,68 @@
     }
     assert_eq!(most, known, "the departed server is in use again");
 }
+
+/// A request that ends each server that runs it comes to all entries in turn, also to one that has
+/// just been restarted, while a controller restarts as well. After the third end, three servers more
+/// may run it at most.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut stage = stage(22, (4, 2), folder.path()).await;
+    for _ in 0..10 {
+        stage.add_server("tablet").await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let callers = stage.start_callers();
+    let entries = stage.fleet.callers();
+    let mut crashing: Vec<Caller> = Vec::new();
+    for (i, entry) in entries.iter().enumerate() {
+        crashing.push(Caller::new(format!("crash{i}"), *entry, stage.ledger.clone()));
+    }
+    for turn in 0..12 {
+        crashing[turn % entries.len()].ask("/write/crash", false, &[]).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        if turn == 6 {
+            let entry = stage.fleet.of_kind(ProgramKind::Entry)[0];
+            for program in [entry, 0] {
+                stage.fleet.programs[program].kill().await;
+                stage.fleet.start_program(program, false).unwrap();
+            }
+            assert!(stage.fleet.wait_ready(Duration::from_secs(10)).await);
+        }
+    }
+    stage.stop_callers();
+    for task in callers {
+        task.await.unwrap();
+    }
+    let ended = stage.servers.iter().filter(|s| s.server.has_ended()).count();
+    assert!((1..=6).contains(&ended), "{ended} servers ended");
+    let mut sound = Caller::new("sound".to_owned(), entries[0], stage.ledger.clone());
+    assert_eq!(sound.ask("/lookup/1", true, &[]).await, Some(200));
+    assert_eq!(crashing[0].ask("/write/crash", false, &[]).await, Some(503));
+}
+
+/// One of two servers states a rate far below its part of the load of four entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn stated_rate() {
+    const WINDOW: Duration = Duration::from_secs(4);
+    let folder = tempfile::tempdir().unwrap();
+    let stage = stage(23, (4, 2), folder.path()).await;
+    let is_tablet =
+        |s: &&hornbeam_standin::routed::Running| s.server.params.service.as_str() == "tablet";
+    let limited = stage.servers.iter().find(is_tablet).unwrap().server.clone();
+    limited.set_fault(RoutedFault::RateLimit);
+    let callers = stage.start_callers();
+    // Every entry hears of the rate in this time.
+    tokio::time::sleep(WINDOW).await;
+    let before = limited.arrivals();
+    tokio::time::sleep(WINDOW).await;
+    let arrived = f64::from(limited.arrivals() - before);
+    stage.stop_callers();
+    for task in callers {
+        task.await.unwrap();
+    }
+    let allowed = STATED_RATE * WINDOW.as_secs_f64();
+    assert!(arrived <= 1.5 * allowed + 5.0, "{arrived} requests, {allowed} stated");
+    assert!(arrived >= 1.0, "the rate is not used");
+}
