Each end of a server counts, also when a search ends many at once

Cause: an entry kept the latest eight runs of a request. After a search these overlap and count once, and the runs of the round before, which would have counted, had been dropped, so that no number of rounds came to three. Runs are reported once, and all of them to a controller whose feed has just been opened, instead of every five seconds, since there are more now.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -161,10 +161,10 @@
         self.engine.borrow_mut().rate_reports(self.clock.now())
     }
 
-    /// Returns the requests that were in flight at servers that ended: those that have changed since
-    /// the last call, or all of them.
-    pub fn crash_reports(&self, all: bool) -> Vec<CrashReport> {
-        self.engine.borrow_mut().crash_reports(self.clock.now(), all)
+    /// Returns the requests that were in flight at servers that ended, as far as this entry has
+    /// observed or cleared them since the last call.
+    pub fn take_crash_reports(&self) -> Vec<CrashReport> {
+        self.engine.borrow_mut().take_crash_reports(self.clock.now())
     }
 
     /// Returns the pool of connections to backend servers.
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_discovery::{Directory, FeedCounts, ServerUpdate};
+use hornbeam_discovery::{CrashReports, Directory, FeedCounts, ServerUpdate};
 use hornbeam_model::{
     CrashReport, InstanceId, Mono, RateReport, RequestRate, Routing, TableVersion,
 };
@@ -94,6 +94,15 @@
     zone_entries: Vec<EntryInfo>,
 }
 
+impl Feed {
+    fn send_crash_reports(&self, reports: &[CrashReport]) {
+        for reports in reports.chunks(MAX_CRASH_REPORTS) {
+            // A feed that has just been lost gets all reports once it is reopened.
+            let _ = self.tx.send(FeedUp::CrashReports(reports.to_vec()));
+        }
+    }
+}
+
 /// All feeds of an entry and the state that they provide.
 struct ControllerFeeds {
     params: FeedParams,
@@ -102,6 +111,8 @@
     directory: Directory,
     feeds: IndexMap<InstanceId, Feed>,
     table: Arc<Routing>,
+    /// Requests in flight at servers that ended, for controllers that have been restarted.
+    crash_reports: CrashReports,
     /// Counts that were published last.
     feed_counts: FeedCounts,
     /// When the latest table was requested, while it has not arrived.
@@ -138,6 +149,7 @@
         directory: Directory::default(),
         feeds: IndexMap::new(),
         table: Arc::new(Routing::default()),
+        crash_reports: CrashReports::default(),
         feed_counts: FeedCounts::default(),
         table_requested_at: None,
         events,
@@ -154,7 +166,7 @@
                 let settings = feeds.watch.reload();
                 feeds.apply_settings(settings);
             }
-            Some(report) = reports.recv() => feeds.send_report(&report),
+            Some(report) = reports.recv() => feeds.send_report(report),
             _ = tick.tick() => feeds.tick(),
         }
         if feeds.params.tx.is_closed() {
@@ -219,7 +231,9 @@
     }
 
     /// Sends each connected controller the demand, and the reports on the servers that it claims.
-    fn send_report(&mut self, report: &EntryReport) {
+    fn send_report(&mut self, report: EntryReport) {
+        let now = self.params.clock.now();
+        let crashes = self.crash_reports.record(now, report.crashes);
         for (controller, feed) in self.feeds.iter_mut().filter(|(_, f)| f.connected) {
             // A feed that has just been lost sends the next report once it is reopened.
             let _ = feed.tx.send(FeedUp::Demand(report.demand));
@@ -232,10 +246,7 @@
                 // A feed that has just been lost sends them once it is reopened.
                 let _ = feed.tx.send(FeedUp::HealthReports(reports));
             }
-            for crashes in report.crashes.chunks(MAX_CRASH_REPORTS) {
-                // A feed that has just been lost sends them once it is reopened.
-                let _ = feed.tx.send(FeedUp::CrashReports(crashes.to_vec()));
-            }
+            feed.send_crash_reports(&crashes);
             let claimed =
                 |r: &&RateReport| self.directory.is_claimed_by(controller, &r.statement.server);
             let rates: Vec<RateReport> = report.rates.iter().filter(claimed).cloned().collect();
@@ -253,6 +264,7 @@
             ConnectionEvent::Connected => {
                 feed.connected = true;
                 feed.last_message = now;
+                feed.send_crash_reports(&self.crash_reports.all(now));
                 self.log("feed", false, &json!({"belief": "feed_open", "controller": from}));
             }
             ConnectionEvent::Lost(e) => {
@@ -294,7 +306,10 @@
                 None => self.request_table(now, from, TableVersion(0)),
             },
             FeedDown::Table(table) => self.on_table((*table).clone()),
-            FeedDown::CrashReports(reports) => self.publish(FeedEvent::CrashReports(reports)),
+            FeedDown::CrashReports(reports) => {
+                let new = self.crash_reports.record(now, reports);
+                self.publish(FeedEvent::CrashReports(new));
+            }
             FeedDown::RateReports(reports) => self.publish(FeedEvent::RateReports(reports)),
             FeedDown::Entries(entries) => self.on_entries(from, entries),
             FeedDown::HealthReports(reports) => {
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -48,8 +48,6 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval of the health reports about backend servers.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Every so many reports include all crashed runs, for controllers that have been restarted.
-const FULL_CRASH_REPORTS: u32 = 12;
 /// Interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -179,14 +177,12 @@
 /// Sends the engine's demand and its health reports about servers to the control thread at
 /// intervals.
 async fn send_reports(core: Rc<Core>, tx: mpsc::UnboundedSender<EntryReport>) {
-    let mut reports_sent: u32 = 0;
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         let now = core.clock.now();
         let (demand, reports) = core.with_engine(|e| (e.request_rate(now), e.health_reports(now)));
         let rates = core.rate_reports();
-        reports_sent += 1;
-        let crashes = core.crash_reports(reports_sent.is_multiple_of(FULL_CRASH_REPORTS));
+        let crashes = core.take_crash_reports();
         let health = reports.into_iter().map(|r| {
             let slowness_tenths = (r.slowness * 10.0).min(f64::from(u16::MAX)) as u16;
             HealthReport { server: r.server, slowness_tenths, unresponsive: r.unresponsive }
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -19,10 +19,10 @@
 }
 
 impl Engine {
-    /// Returns the runs during which servers ended, to report them to the other entries: those that
-    /// have changed since the last call, or all of them.
-    pub fn crash_reports(&mut self, now: Mono, all: bool) -> Vec<CrashReport> {
-        self.crash_history.reports(now, all)
+    /// Returns the runs during which servers ended that this entry has observed or cleared since the
+    /// last call, to report them to the other entries.
+    pub fn take_crash_reports(&mut self, now: Mono) -> Vec<CrashReport> {
+        self.crash_history.take_reports(now)
     }
 
     /// Returns the end of the quarantine of a running request, if it is quarantined.
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -434,3 +434,30 @@
     assert!(arrived <= 1.5 * allowed + 5.0, "{arrived} requests, {allowed} stated");
     assert!(arrived >= 1.0, "the rate is not used");
 }
+
+/// A search ends the servers of all shards that run it, and comes again when others have taken their
+/// place. After the third end, three searches more may reach servers at most; in the first one many
+/// servers end at about the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_search() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut stage = stage(24, (4, 2), folder.path()).await;
+    let entries = stage.fleet.callers();
+    let mut harmful_rounds = 0;
+    for round in 0..6 {
+        let entry = entries[round % entries.len()];
+        let mut caller = Caller::new(format!("crash{round}"), entry, stage.ledger.clone());
+        assert_ne!(caller.ask("/sweep/crash", true, &[]).await, Some(200));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let has_ended = |s: &hornbeam_standin::routed::Running| s.server.has_ended();
+        let ended: Vec<_> = stage.servers.extract_if(.., |s| has_ended(s)).collect();
+        harmful_rounds += usize::from(!ended.is_empty());
+        for server in ended {
+            stage.add_server(server.server.params.service.as_str()).await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert!((1..=4).contains(&harmful_rounds), "servers ended in {harmful_rounds} rounds");
+    let mut sound = Caller::new("sound".to_owned(), entries[0], stage.ledger.clone());
+    assert_eq!(sound.ask("/lookup/1", true, &[]).await, Some(200));
+}
