Bytes without end before a response end its attempt

Could happen here: a server that sends informational responses, or the line before a chunk, without end was read until something else ended the attempt, and the chunk line was held in memory as it grew. Heads, header fields, chunk sizes, trailers and bodies were bounded before. Now 16 informational responses and a chunk line of 1 KiB are read at most. Tests: responses endless_bytes, nine kinds of bytes; informational and chunk_extension failed before (read for 20 s), all pass.

--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -14,6 +14,10 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Longest response body accepted from a server, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Longest line before a chunk, with its extensions, in bytes.
+const MAX_CHUNK_LINE_BYTES: usize = 1 << 10;
+/// Maximum number of informational responses before the final one.
+const MAX_INFORMATIONAL: u32 = 16;
 /// Maximum number of header fields in a response.
 const MAX_HEADER_FIELDS: usize = 64;
 /// Buffer capacity reserved for one read, in bytes: most shard responses fit into one read.
@@ -84,7 +88,7 @@
 /// response within the limits of this module.
 pub async fn read_response(stream: &TcpStream) -> io::Result<RawResponse> {
     let mut buf = BytesMut::with_capacity(READ_BYTES);
-    loop {
+    for _ in 0..=MAX_INFORMATIONAL {
         let (status, length, framing) = read_head(stream, &mut buf).await?;
         let head = buf.split_to(length).freeze();
         if status.is_informational() {
@@ -99,6 +103,7 @@
         let reusable = buf.is_empty() && framing != Framing::UntilClose;
         return Ok(RawResponse { status, head, body, reusable });
     }
+    Err(invalid("more than 16 informational responses precede the final one"))
 }
 
 /// Reads until the head is complete; returns its status and length and the framing of the body.
@@ -193,6 +198,9 @@
         let (start, size) = loop {
             match httparse::parse_chunk_size(buf) {
                 Ok(httparse::Status::Complete((start, size))) => break (start, size as usize),
+                Ok(httparse::Status::Partial) if buf.len() > MAX_CHUNK_LINE_BYTES => {
+                    return Err(invalid("the line before a chunk is longer than 1 KiB"));
+                }
                 Ok(httparse::Status::Partial) => read_some(stream, buf).await?,
                 Err(_) => return Err(invalid("the chunk size is invalid")),
             }
--- a/crates/hornbeam_entry/tests/responses.rs
+++ b/crates/hornbeam_entry/tests/responses.rs
@@ -113,3 +113,40 @@
         assert!(read(&[text], AfterSend::KeepOpen).await.is_err(), "{text:?}");
     }
 }
+
+/// A server sends bytes without end until the connection is closed. The read must end by itself, since
+/// its time limit may be far away, and hold only so many bytes.
+#[yare::parameterized(
+    head = { "HTTP/1.1 200 OK\r\nx-", "aaaaaaaaaaaaaaa" },
+    fields = { "HTTP/1.1 200 OK\r\n", "x: y\r\n" },
+    no_response = { "", "\u{16}\u{3}\u{1}" },
+    informational = { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    chunk_extension = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "aaaaaaaaaaaaaaaa" },
+    chunk_size = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0" },
+    chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\na\r\n" },
+    trailers = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x: y\r\n" },
+    body = { "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa" }
+)]
+fn endless_bytes(start: &str, repeated: &str) {
+    const MAX_SENT: usize = 64 << 20;
+    let (start, repeated) = (start.to_owned(), repeated.repeat(1 << 10));
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(start.as_bytes()).await.unwrap();
+            let mut sent = 0;
+            while sent < MAX_SENT && stream.write_all(repeated.as_bytes()).await.is_ok() {
+                sent += repeated.len();
+            }
+            // Keeps the connection open if the reader has not closed it.
+            tokio::time::sleep(Duration::from_secs(60)).await;
+        });
+        let stream = TcpStream::connect(address).await.unwrap();
+        let read = tokio::time::timeout(Duration::from_secs(20), read_response(&stream)).await;
+        server.abort();
+        assert!(read.expect("the read ends by itself").is_err());
+    });
+}
