An attempt ends two seconds after the deadline of its request

Could happen here: attempts of requests that must not run twice are not aborted, and reading a response had no limit in time, so that a server that never finishes one held a connection, and a place among the attempts at that server, until the process ended. The reading now ends two seconds after the deadline, by which the caller has its answer. Tests: unfinished_responses, silent and dripping; both failed before (open 8 s after the deadline) and pass.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -30,6 +30,9 @@
 /// Time before the end of a stated keep-alive timeout from which an idle connection is no longer
 /// reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
+/// Time after the deadline of a request for which its response is awaited, so that the connection can
+/// be reused.
+const READ_GRACE: Duration = Duration::from_secs(2);
 /// Longest request body after which a connection is reused, in bytes: the server may respond to a
 /// longer one before it has read all of it.
 const MAX_REUSE_BODY_BYTES: usize = 8 << 10;
@@ -184,12 +187,13 @@
                 return Exchange::without_response(AttemptOutcome::Lost);
             }
         }
-        return match read_response(&stream).await {
-            Ok(response) => handle_response(core, attempt, request, stream, response),
-            Err(e) if is_connection_end(&e) => {
+        let response = tokio::time::timeout(remaining + READ_GRACE, read_response(&stream));
+        return match response.await {
+            Ok(Ok(response)) => handle_response(core, attempt, request, stream, response),
+            Ok(Err(e)) if is_connection_end(&e) => {
                 Exchange::without_response(AttemptOutcome::ConnectionLost)
             }
-            Err(_) => Exchange::without_response(AttemptOutcome::Lost),
+            Ok(Err(_)) | Err(_) => Exchange::without_response(AttemptOutcome::Lost),
         };
     }
 }
