--- a/crates/hornbeam_route/tests/server_rates.rs
+++ b/crates/hornbeam_route/tests/server_rates.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use common::{CHECKS_PER_SECOND, FURNACE, Fault, ReportFaults, SWEEPS_PER_SECOND, Site, World};
+use common::{
+    CHECKS_PER_SECOND, EntryFault, FURNACE, Fault, ReportFaults, SWEEPS_PER_SECOND, Site, World,
+};
 use hornbeam_model::Mono;
 use hornbeam_route::{Completion, RefusalKind};
 
@@ -106,6 +108,24 @@
     }
 }
 
+/// The entry with most of the callers stands still for some seconds; what it was allowed to send then
+/// has run out when it goes on.
+#[test]
+fn paused_entry() {
+    for seed in 0..4 {
+        let mut world = start(6, seed, 0.4, RATE, NO_FAULTS);
+        let binds_at = world.now + NOTICE_TIME;
+        offer_load(&mut world, 20);
+        world.run(8 * SECOND);
+        world.entry_faults[0] = EntryFault::Frozen;
+        world.run(4 * SECOND);
+        world.entry_faults[0] = EntryFault::None;
+        world.run(8 * SECOND);
+        let most = most_in_window(&world, binds_at);
+        assert!(most as f64 <= allowed(RATE), "seed {seed}: {most} in a window");
+    }
+}
+
 /// All copies of a service state a rate: callers get a refusal at once that says when to return.
 #[test]
 fn refused_at_once() {
