A search that ends the servers of one shard goes on without it

Each shard of a search is now a suspect of its own besides, which only a response of its service clears. In quarantine it is left out; the search is answered as long as enough other shards can respond, and refused at once otherwise.

--- a/crates/hornbeam_discovery/tests/crash_reports.rs
+++ b/crates/hornbeam_discovery/tests/crash_reports.rs
@@ -9,7 +9,7 @@
 
 fn report(content: u64, server: u32, cleared: bool) -> CrashReport {
     let run = CrashedRun {
-        fingerprint: Fingerprint { caller: 0, content, query: Some(0) },
+        fingerprint: Fingerprint { caller: 0, content, query: Some(0), service: None },
         server: format!("s{server}").parse().unwrap(),
         incarnation: Incarnation(1),
         span: RunSpan { began: 4_000_000, ended: 4_100_000 },
--- a/crates/hornbeam_route/src/crash_history.rs
+++ b/crates/hornbeam_route/src/crash_history.rs
@@ -9,6 +9,8 @@
 //! - It has never got a response. A response clears a request of all its runs.
 //! - If repeats differ in their query string, they are suspects together: they are quarantined as long
 //!   as no request to the same path gets a response.
+//! - A search may end the servers of one shard while others respond. Each shard is a suspect of its own
+//!   besides, which only a response of its service clears; without that shard the search goes on.
 //! - It explains the most ends. An end that a quarantined request explains counts for no other one.
 //!
 //! All entries learn all runs and come to the same conclusion. Replayed in `tests/crash_suspects`.
@@ -45,13 +47,18 @@
 }
 
 impl CrashHistory {
-    /// Returns the end of the quarantine of a request, if it is quarantined.
+    /// Returns the end of the quarantine of a request or of one shard of it, if it is quarantined.
     pub fn quarantined_until(&self, now: Mono, fingerprint: Fingerprint) -> Option<Mono> {
         let exact = self.quarantined.get(&fingerprint);
         let until = exact.or_else(|| self.quarantined.get(&fingerprint.any_query())).copied();
         until.filter(|until| now < *until)
     }
 
+    /// Returns true if no request is quarantined, as is usual.
+    pub fn is_clear(&self) -> bool {
+        self.quarantined.is_empty()
+    }
+
     /// Returns the requests that are quarantined.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
         self.quarantined.keys().copied()
@@ -63,10 +70,13 @@
         self.suspects.get(&fingerprint).map_or(0, |runs| successive_crashes(runs, &[]))
     }
 
-    /// Records a run that this entry has observed.
+    /// Records a run that this entry has observed. Its fingerprint names the service if the request is
+    /// a search.
     pub fn record(&mut self, now: Mono, run: CrashedRun) {
-        let any_query = CrashedRun { fingerprint: run.fingerprint.any_query(), ..run.clone() };
-        let changed = self.insert(now, run, true) | self.insert(now, any_query, true);
+        let mut changed = false;
+        for fingerprint in scopes(run.fingerprint) {
+            changed |= self.insert(now, CrashedRun { fingerprint, ..run.clone() }, true);
+        }
         if changed {
             self.update_quarantine(now);
         }
@@ -83,10 +93,11 @@
         }
     }
 
-    /// Records that a request got a response from a server that ran it: it ends no servers.
+    /// Records that a request got a response from a server that ran it: it ends no servers. The
+    /// fingerprint names the service if the request is a search.
     pub fn clear(&mut self, now: Mono, fingerprint: Fingerprint) {
         let mut changed = false;
-        for fingerprint in [fingerprint, fingerprint.any_query()] {
+        for fingerprint in scopes(fingerprint) {
             let Some(runs) = self.suspects.get_mut(&fingerprint) else { continue };
             for known in runs.iter_mut().filter(|known| !known.run.cleared) {
                 known.run.cleared = true;
@@ -148,20 +159,26 @@
     }
 
     /// Determines the requests to quarantine: first single ones, then those that differ in their
-    /// query string only.
+    /// query string only, then single shards.
     fn update_quarantine(&mut self, now: Mono) {
         self.quarantined.clear();
         let mut explained: Vec<CrashedRun> = Vec::new();
-        for any_query in [false, true] {
-            self.quarantine_culprits(now, any_query, &mut explained);
-        }
+        let is_request = |f: &Fingerprint| f.query.is_some() && f.service.is_none();
+        self.quarantine_culprits(now, is_request, &mut explained);
+        self.quarantine_culprits(now, |f| f.query.is_none(), &mut explained);
+        self.quarantine_culprits(now, |f| f.service.is_some(), &mut explained);
     }
 
-    /// Quarantines the request that explains the most ends of servers, as long as there is one with
+    /// Quarantines the candidate that explains the most ends of servers, as long as there is one with
     /// enough of them that no other one explains.
-    fn quarantine_culprits(&mut self, now: Mono, any_query: bool, explained: &mut Vec<CrashedRun>) {
+    fn quarantine_culprits(
+        &mut self,
+        now: Mono,
+        is_candidate: impl Fn(&Fingerprint) -> bool,
+        explained: &mut Vec<CrashedRun>,
+    ) {
         loop {
-            let suspects = self.suspects.iter().filter(|(f, _)| f.query.is_none() == any_query);
+            let suspects = self.suspects.iter().filter(|(f, _)| is_candidate(f));
             let by_crashes = suspects.map(|(fingerprint, runs)| {
                 (successive_crashes(runs, explained), runs.len(), Reverse(*fingerprint))
             });
@@ -179,6 +196,14 @@
     }
 }
 
+/// Returns the fingerprints that a run counts for: the request, all that differ in the query string
+/// only, and the shard of a search.
+fn scopes(fingerprint: Fingerprint) -> impl Iterator<Item = Fingerprint> {
+    let request = Fingerprint { service: None, ..fingerprint };
+    let shard = fingerprint.service.map(|_| fingerprint);
+    [request, request.any_query()].into_iter().chain(shard)
+}
+
 /// Counts the runs that no response has cleared and no other request explains, of those that overlap
 /// only one. The runs are in the order of their ends, so taking each one that begins after the last
 /// one taken gives the largest number.
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -88,7 +88,8 @@
             Target::Scatter(scatter) => scatter.min_shards(),
             Target::Single(_) | Target::Split(_) => 1,
         };
-        if let Some(until) = self.crash_history.quarantined_until(now, arrival.fingerprint) {
+        let quarantine = self.quarantined_below(now, arrival.fingerprint, &services, min_shards);
+        if let Some(until) = quarantine {
             let (kind, wait) = (RefusalKind::Quarantined, Some(until.since(now)));
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -31,7 +31,7 @@
         self.apply_notice(now, &in_flight, notice, out);
         self.record_stated_rate(now, &in_flight, outcome, notice.rate, out);
         match outcome {
-            AttemptOutcome::Answered => self.crash_history.clear(now, in_flight.fingerprint),
+            AttemptOutcome::Answered => self.clear_suspect(now, &in_flight),
             AttemptOutcome::ConnectionLost => self.check_server(now, &in_flight, out),
             _ => {}
         }
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -118,7 +118,7 @@
             }
             return out.push(Output::Complete { request: key, completion });
         }
-        let quarantined = self.quarantined_until(now, key).is_some();
+        let quarantined = self.quarantine_of(now, running).is_some();
         let kind = match running.may_have_run() {
             true => RefusalKind::Failed,
             false if quarantined => RefusalKind::Quarantined,
@@ -133,8 +133,8 @@
         let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
         let delegates = !running.groups.is_empty();
         let prospects = self.prospects(now, &running.route, &services, delegates);
-        let quarantined = self.crash_history.quarantined_until(now, running.fingerprint);
-        let wait = quarantined
+        let wait = self
+            .quarantine_of(now, &running)
             .map(|until| until.since(now))
             .or_else(|| prospects.time_until(running.min_shards));
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
@@ -142,6 +142,12 @@
         out.push(Output::Complete { request: key, completion: Completion::Refuse(refusal) });
     }
 
+    /// Returns the end of the quarantine that keeps a request from getting enough responses.
+    fn quarantine_of(&self, now: Mono, running: &RunningRequest) -> Option<Mono> {
+        let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
+        self.quarantined_below(now, running.fingerprint, &services, running.min_shards)
+    }
+
     fn log_refusal(
         &self,
         now: Mono,
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -25,10 +25,62 @@
         self.crash_history.take_reports(now)
     }
 
-    /// Returns the end of the quarantine of a running request, if it is quarantined.
-    pub(super) fn quarantined_until(&self, now: Mono, key: QueryId) -> Option<Mono> {
-        let running = self.requests.get(&key)?;
-        self.crash_history.quarantined_until(now, running.fingerprint)
+    /// Returns true if a request or one shard of it is quarantined.
+    pub(super) fn is_quarantined(&self, now: Mono, key: QueryId, shard: usize) -> bool {
+        let Some(running) = self.requests.get(&key) else { return false };
+        let service = running.shards[shard].service;
+        self.quarantined_until(now, running.fingerprint, service).is_some()
+    }
+
+    /// Returns the end of the quarantine of a request, or of its shard at a service.
+    pub(super) fn quarantined_until(
+        &self,
+        now: Mono,
+        fingerprint: Fingerprint,
+        service: usize,
+    ) -> Option<Mono> {
+        let history = &self.crash_history;
+        if history.is_clear() {
+            return None;
+        }
+        let shard = || fingerprint.at_service(&self.services[service].id);
+        history
+            .quarantined_until(now, fingerprint)
+            .or_else(|| history.quarantined_until(now, shard()))
+    }
+
+    /// Returns the end of the quarantine of a request to these services, if fewer than `min_shards` of
+    /// them may get it.
+    pub(super) fn quarantined_below(
+        &self,
+        now: Mono,
+        fingerprint: Fingerprint,
+        services: &[usize],
+        min_shards: usize,
+    ) -> Option<Mono> {
+        if self.crash_history.is_clear() {
+            return None;
+        }
+        let until = |service: &usize| self.quarantined_until(now, fingerprint, *service);
+        let mut ends: Vec<Mono> = services.iter().filter_map(until).collect();
+        let lacking = min_shards.checked_sub(services.len() - ends.len() + 1)?;
+        ends.sort_unstable();
+        ends.get(lacking).copied()
+    }
+
+    /// Returns the fingerprint of what an attempt runs: a request, or a shard of a search.
+    fn run_fingerprint(&self, in_flight: &InFlightAttempt) -> Fingerprint {
+        let service = &self.services[self.servers[in_flight.server].service].id;
+        match in_flight.is_scatter {
+            true => in_flight.fingerprint.at_service(service),
+            false => in_flight.fingerprint,
+        }
+    }
+
+    /// Records a response: the request does not end its servers.
+    pub(super) fn clear_suspect(&mut self, now: Mono, in_flight: &InFlightAttempt) {
+        let fingerprint = self.run_fingerprint(in_flight);
+        self.crash_history.clear(now, fingerprint);
     }
 
     /// Checks whether a server to which a connection was lost has ended.
@@ -40,7 +92,7 @@
     ) {
         let server = &self.servers[in_flight.server];
         let span = RunSpan { began: in_flight.sent_at.0 as i64, ended: now.0 as i64 };
-        let run = (in_flight.fingerprint, span);
+        let run = (self.run_fingerprint(in_flight), span);
         let (id, incarnation, address) = (server.id.clone(), server.incarnation, server.address);
         match self.pending_checks.get_mut(&id) {
             Some(check) if check.incarnation == incarnation => check.runs.push(run),
@@ -116,7 +168,6 @@
             return;
         }
         let mut keys: Vec<QueryId> = self.requests.keys().copied().collect();
-        keys.retain(|key| self.quarantined_until(now, *key).is_some());
         keys.sort_unstable();
         for key in keys {
             let Some(running) = self.requests.get(&key) else { continue };
@@ -124,6 +175,9 @@
             let waiting: Vec<usize> =
                 shards.filter(|(_, s)| s.is_waiting()).map(|(i, _)| i).collect();
             for shard in waiting {
+                if !self.is_quarantined(now, key, shard) {
+                    continue;
+                }
                 self.dequeue(key, shard);
                 self.mark_missing(key, shard);
             }
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -91,7 +91,7 @@
         let Some(running) = self.requests.get(&key) else { return true };
         let progress = &running.shards[shard];
         if progress.possible_runs >= running.allowed_attempts()
-            || self.quarantined_until(now, key).is_some()
+            || self.is_quarantined(now, key, shard)
         {
             return false;
         }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -68,6 +68,8 @@
     request: Option<QueryId>,
     id: SmolStr,
     fingerprint: Fingerprint,
+    /// True if it carries one shard of a search.
+    is_scatter: bool,
     route: RouteId,
     shard: usize,
     server: usize,
--- a/crates/hornbeam_route/src/engine/notices.rs
+++ b/crates/hornbeam_route/src/engine/notices.rs
@@ -21,7 +21,7 @@
     pub fn may_send(&self, now: Mono, attempt: AttemptId) -> bool {
         let Some(in_flight) = self.attempts.get(&attempt) else { return false };
         let server = &self.servers[in_flight.server];
-        let quarantined = self.crash_history.quarantined_until(now, in_flight.fingerprint);
+        let quarantined = self.quarantined_until(now, in_flight.fingerprint, server.service);
         in_flight.request.is_some()
             && server.usable
             && !server.is_paused(now)
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -128,7 +128,7 @@
         (server, cost): (usize, f64),
         out: &mut Vec<Output>,
     ) -> bool {
-        if self.quarantined_until(now, key).is_some() {
+        if self.is_quarantined(now, key, shard) {
             return false;
         }
         let kind = self.next_kind(key, shard);
@@ -169,7 +169,7 @@
         others_suffice: bool,
         out: &mut Vec<Output>,
     ) {
-        if self.quarantined_until(now, key).is_some() {
+        if self.is_quarantined(now, key, shard) {
             return self.mark_missing(key, shard);
         }
         let Some(running) = self.requests.get_mut(&key) else { return };
@@ -406,6 +406,7 @@
             request: Some(key),
             id: running.id.clone(),
             fingerprint: running.fingerprint,
+            is_scatter,
             route: running.route.name.clone(),
             shard,
             server,
--- a/crates/hornbeam_route/tests/common/harness.rs
+++ b/crates/hornbeam_route/tests/common/harness.rs
@@ -88,7 +88,7 @@
             Input::Request {
                 key: QueryId(key),
                 id: format!("r{key}").into(),
-                fingerprint: Fingerprint { caller: 0, content: key, query: Some(0) },
+                fingerprint: Fingerprint { caller: 0, content: key, query: Some(0), service: None },
                 host: "plots.example".into(),
                 path: "/lookup/1".into(),
                 patience,
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -36,6 +36,8 @@
 
 /// Interval in which entries hear the request rate of all entries.
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Time in which a server that has ended starts again.
+const RESTART_TIME: Duration = Duration::from_secs(1);
 /// Delay of a late report.
 const LATE_REPORT: Duration = Duration::from_millis(900);
 /// Time in which a refusal reaches its caller and the next request reaches an entry.
@@ -65,6 +67,8 @@
     ReportRates,
     /// Reports of stated rates, by their number, arrive at an entry.
     RatesArrive(usize, u64),
+    /// A server has started again after its end.
+    ServerStarts(usize),
     /// A restarted entry hears its controllers.
     Sync(usize),
     /// The message with this number arrives at an entry.
@@ -150,6 +154,11 @@
     rate_reports: RateReports,
     rate_messages: HashMap<u64, Vec<RateReport>>,
     report_faults: ReportFaults,
+    /// Content of the requests that are sent from now on; each has its own if there is none.
+    pub content: Option<u64>,
+    contents: HashMap<QueryId, u64>,
+    /// Attempts that end their servers.
+    crashing: HashSet<AttemptKey>,
     /// Origin entry and group, by the key of the group at its gathering entry.
     gathers: HashMap<QueryId, (usize, AttemptId)>,
     delegations: HashMap<(usize, AttemptId), (usize, QueryId)>,
@@ -213,6 +222,9 @@
             rate_reports: RateReports::default(),
             rate_messages: HashMap::new(),
             report_faults: ReportFaults::default(),
+            content: None,
+            contents: HashMap::new(),
+            crashing: HashSet::new(),
             gathers: HashMap::new(),
             delegations: HashMap::new(),
             aborted: HashSet::new(),
@@ -261,6 +273,7 @@
         self.by_name.insert(name.clone(), self.servers.len());
         self.servers.push(SimServer {
             name: name.clone(),
+            incarnation: 1,
             slots: 2,
             fault: Fault::None,
             leaving: false,
@@ -287,9 +300,16 @@
     }
 
     fn announcement(&self, server: usize) -> ServerChange {
-        let SimServer { name, slots, .. } = &self.servers[server];
+        let SimServer { name, slots, incarnation, .. } = &self.servers[server];
         let (service, copy) = name.as_str().rsplit_once('-').expect("named by add_server");
-        usable(name, service.parse().unwrap(), copy.parse().unwrap(), *slots, self.zones)
+        usable(
+            name,
+            service.parse().unwrap(),
+            copy.parse().unwrap(),
+            *slots,
+            self.zones,
+            *incarnation,
+        )
     }
 
     /// Sets the number of requests that each server processes concurrently.
@@ -443,6 +463,7 @@
             | Event::RatesArrive(..)
             | Event::CallerReturns(..)
             | Event::Sync(_)
+            | Event::ServerStarts(_)
             | Event::AttemptArrival(..)
             | Event::WorkDone(..)
             | Event::WorkExpired(..) => None,
@@ -462,6 +483,7 @@
             Event::Sync(entry) => {
                 self.sync_entry(entry);
             }
+            Event::ServerStarts(server) => self.announce_server(server),
             Event::Request(route) => {
                 let drawn = self.rng.random_range(0..self.engines.len());
                 let entry = match self.preferred_entry {
@@ -508,6 +530,7 @@
                     AttemptOutcome::NotRun,
                     AttemptOutcome::NotSent,
                     AttemptOutcome::Lost,
+                    AttemptOutcome::ConnectionLost,
                 ][outcome as usize];
                 if !self.aborted.remove(&(entry, attempt)) {
                     self.step(entry, Input::AttemptFinished { attempt, outcome, notice });
@@ -625,7 +648,7 @@
         let request = GroupRequest {
             key,
             id: format!("r{}", delegation.request).into(),
-            fingerprint: Fingerprint { caller: 0, content: delegation.request.0, query: Some(0) },
+            fingerprint: self.fingerprint(delegation.request),
             route: Arc::new(delegation.route),
             due_in: delegation.due_in,
             remaining: delegation.remaining,
@@ -678,13 +701,16 @@
     fn request_since(&mut self, route: usize, entry: usize, first_arrived: Mono) -> QueryId {
         let key = QueryId(self.next_key);
         self.next_key += 1;
+        if let Some(content) = self.content {
+            self.contents.insert(key, content);
+        }
         self.running.insert(key, (route, first_arrived));
         let waited = self.now.since(first_arrived);
         let patience = Some(self.routes[route].timeout().saturating_sub(waited));
         let input = Input::Request {
             key,
             id: format!("r{key}").into(),
-            fingerprint: Fingerprint { caller: 0, content: key.0, query: Some(0) },
+            fingerprint: self.fingerprint(key),
             host: "plots.example".into(),
             path: self.paths[route].as_str().into(),
             patience,
@@ -694,6 +720,11 @@
         key
     }
 
+    fn fingerprint(&self, key: QueryId) -> Fingerprint {
+        let content = self.contents.get(&key).copied().unwrap_or(key.0);
+        Fingerprint { caller: 0, content, query: Some(0), service: None }
+    }
+
     /// Passes one input to an entry and handles its outputs.
     pub fn step(&mut self, entry: usize, input: Input) {
         let mut out = Vec::new();
@@ -778,7 +809,11 @@
                     }
                 }
             }
-            Output::CheckServer { .. } | Output::CloseIdle(_) | Output::Discard(_) => {}
+            Output::CheckServer { server, incarnation, .. } => {
+                let has_ended = self.servers[self.by_name[&server]].incarnation > incarnation.0;
+                self.step(entry, Input::ServerChecked { server, incarnation, has_ended });
+            }
+            Output::CloseIdle(_) | Output::Discard(_) => {}
             Output::Complete { request, completion } => {
                 let (route, at) = self.running.remove(&request).expect("a request completes once");
                 let returned = self.returned.remove(&request);
@@ -821,6 +856,10 @@
             return;
         }
         let route = self.running.get(&key).map_or(0, |(route, _)| *route);
+        let origin = self.origin_requests.get(&key).copied().unwrap_or(key);
+        if self.servers[server].fault == Fault::Crash(self.fingerprint(origin).content) {
+            self.crashing.insert(attempt);
+        }
         let draw: f64 = self.rng.random_range(0.0..1.0);
         let spread: f64 = self.rng.random_range(0.65..1.35);
         let tail = if self.rng.random_range(0.0..1.0) < 0.01 { 5.0 } else { 1.0 };
@@ -852,7 +891,6 @@
         }
         s.queue.push_back((attempt, work, self.now + remaining));
         let service = s.name.as_str().rsplit_once('-').map_or("", |(service, _)| service);
-        let origin = self.origin_requests.get(&key).copied().unwrap_or(key);
         self.servers_reached.entry((origin, service.to_owned())).or_default().insert(server);
         self.start_work(server);
     }
@@ -884,10 +922,26 @@
         }
     }
 
+    /// Ends a server with everything that it runs or has queued, and starts it again.
+    fn crash_server(&mut self, server: usize) {
+        let s = &mut self.servers[server];
+        s.incarnation += 1;
+        let mut lost = std::mem::take(&mut s.running);
+        lost.extend(s.queue.drain(..).map(|(attempt, ..)| attempt));
+        for attempt in lost {
+            let at = self.now + ONE_WAY_LATENCY;
+            self.schedule(at, Event::AttemptFinished(attempt, server, 5));
+        }
+        self.schedule(self.now + RESTART_TIME, Event::ServerStarts(server));
+    }
+
     fn on_work_end(&mut self, server: usize, attempt: AttemptKey, outcome: u8) {
         if !self.servers[server].running.contains(&attempt) {
             return;
         }
+        if self.crashing.remove(&attempt) {
+            return self.crash_server(server);
+        }
         self.servers[server].running.retain(|a| *a != attempt);
         self.schedule(self.now + ONE_WAY_LATENCY, Event::AttemptFinished(attempt, server, outcome));
         self.start_work(server);
--- a/crates/hornbeam_route/tests/common/routes.rs
+++ b/crates/hornbeam_route/tests/common/routes.rs
@@ -47,10 +47,11 @@
     copy: usize,
     slots: usize,
     zones: usize,
+    incarnation: u64,
 ) -> ServerChange {
     ServerChange::Usable {
         server: name.clone(),
-        incarnation: Incarnation(1),
+        incarnation: Incarnation(incarnation),
         service,
         address: "127.0.0.1:1".parse().unwrap(),
         zone: ZONES[copy.min(zones - 1)].parse().unwrap(),
--- a/crates/hornbeam_route/tests/common/sim_server.rs
+++ b/crates/hornbeam_route/tests/common/sim_server.rs
@@ -25,11 +25,15 @@
     Refused,
     /// Sheds every request and asks for a pause.
     Pause(Duration),
+    /// Ends when it runs a request with this content, and starts anew at once.
+    Crash(u64),
 }
 
 /// A simulated server.
 pub struct SimServer {
     pub name: ServerId,
+    /// Number of its start.
+    pub incarnation: u64,
     pub slots: usize,
     pub fault: Fault,
     /// True once it states in its responses that it is leaving.
--- a/crates/hornbeam_route/tests/crash_suspects.rs
+++ b/crates/hornbeam_route/tests/crash_suspects.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use common::harness::Harness;
+use common::{CONSORTIUM, Fault, World};
 use hornbeam_model::{CrashReport, CrashedRun, Fingerprint, Incarnation, Mono, RunSpan};
 use hornbeam_route::{AttemptOutcome, Completion, CrashHistory, Input, Output, RefusalKind};
 
 const MS: Duration = Duration::from_millis(1);
 const NOW: Mono = Mono::from_millis(100_000);
-const CULPRIT: Fingerprint = Fingerprint { caller: 0, content: 1, query: Some(0) };
-const BESIDE: Fingerprint = Fingerprint { caller: 0, content: 2, query: Some(0) };
+const CULPRIT: Fingerprint = Fingerprint { caller: 0, content: 1, query: Some(0), service: None };
+const BESIDE: Fingerprint = Fingerprint { caller: 0, content: 2, query: Some(0), service: None };
 
 /// A run at server `n` from `began_ms` to `ended_ms`, in milliseconds before [`NOW`].
 fn run(fingerprint: Fingerprint, n: u32, began_ms: i64, ended_ms: i64) -> CrashedRun {
@@ -170,7 +171,10 @@
 fn bounded_suspects() {
     let mut history = history(successive(CULPRIT));
     for content in 0..5_000 {
-        history.record(NOW, run(Fingerprint { caller: 9, content, query: Some(0) }, 50, 300, 200));
+        history.record(
+            NOW,
+            run(Fingerprint { caller: 9, content, query: Some(0), service: None }, 50, 300, 200),
+        );
     }
     assert!(history.take_reports(NOW).len() <= 1_024 * 64);
     assert!(is_quarantined(&history, CULPRIT));
@@ -178,7 +182,7 @@
 
 /// An engine with two servers, and the fingerprint of its request number `key`.
 fn quarantine(harness: &mut Harness, key: u64) {
-    let fingerprint = Fingerprint { caller: 0, content: key, query: Some(0) };
+    let fingerprint = Fingerprint { caller: 0, content: key, query: Some(0), service: None };
     let mut known = history(
         (10..13)
             .map(|n| run(fingerprint, n, 1_000 - 10 * i64::from(n), 995 - 10 * i64::from(n)))
@@ -267,3 +271,53 @@
         assert_eq!(known, 2 * usize::from(has_ended));
     }
 }
+
+/// Searches with one content end the servers of some shards; each round is a search at every entry
+/// in turn. Returns the starts of all servers in each round.
+fn crash_rounds(world: &mut World, shards: usize, rounds: usize) -> Vec<u64> {
+    for shard in 0..shards {
+        world.set_fault(&format!("s{shard}"), Fault::Crash(77));
+    }
+    let starts = |w: &World| w.servers.iter().map(|s| s.incarnation).sum::<u64>();
+    let mut ended = Vec::new();
+    for round in 0..rounds {
+        let before = starts(world);
+        world.content = Some(77);
+        world.request_at(0, round % world.engines.len());
+        world.content = None;
+        world.run(Duration::from_secs(2));
+        for entry in 0..world.engines.len() {
+            let reports = world.engines[entry].take_crash_reports(world.now);
+            for other in 0..world.engines.len() {
+                world.step(other, Input::CrashReports(reports.clone()));
+            }
+        }
+        ended.push(starts(world) - before);
+    }
+    ended
+}
+
+/// A search ends the servers of all shards that run it.
+#[test]
+fn all_shards_crash() {
+    let mut world = CONSORTIUM.start(31);
+    let ended = crash_rounds(&mut world, 20, 6);
+    assert!(ended[0] > 0);
+    assert_eq!(ended[3..], [0, 0, 0], "{ended:?}");
+}
+
+/// A search ends the servers of one shard, and the other shards respond to it. It is still answered,
+/// without that shard.
+#[test]
+fn one_shard_crashes() {
+    let mut world = CONSORTIUM.start(32);
+    let ended = crash_rounds(&mut world, 1, 6);
+    assert!(ended[0] > 0);
+    assert_eq!(ended[3..], [0, 0, 0], "{ended:?}");
+    world.ended.clear();
+    world.content = Some(77);
+    world.request_at(0, 0);
+    world.run(Duration::from_secs(2));
+    let Completion::Merge { missing, .. } = world.ended[0].completion else { panic!("refused") };
+    assert_eq!(missing, 1);
+}
