A quarantine outlasts a restart of all programs

Could happen here: when all programs lose power, entries and controllers forget which request ended servers, and it ends three more. Controllers now save the runs that entries report, beside their servers and with the same writer, and recall them with the age that they have by then. server_file becomes state_file, for both; the servers stay in the file where they were. Tests: fleet crashed_before_restart failed before (502, a server ran the request) and passes; crash_reports recalled_runs.

--- a/crates/hornbeam_controller/src/lib.rs
+++ b/crates/hornbeam_controller/src/lib.rs
@@ -16,8 +16,8 @@
 pub mod feed;
 pub mod metrics;
 pub mod run;
-mod server_file;
 pub mod state;
+mod state_file;
 pub mod tables;
 
 pub use dialect::{Call, Dialect};
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -30,7 +30,7 @@
 use crate::api::{ApiRequest, ApiResponse};
 use crate::feed::{FeedEvent, FeedId, FeedSender};
 use crate::metrics::Metrics;
-use crate::server_file::ServerFile;
+use crate::state_file::{CrashFile, ServerFile};
 use crate::tables::RecentTables;
 
 /// Number of heartbeats that a server may miss before its lease expires.
@@ -70,6 +70,8 @@
     health_reports: HealthReports,
     rate_reports: RateReports,
     crash_reports: CrashReports,
+    /// `None` without a data folder, or if it cannot be written.
+    crash_file: Option<CrashFile>,
     /// `None` without a data folder and while the disk cannot be used.
     voter: Option<Voter>,
     reopen_at: Mono,
@@ -151,6 +153,7 @@
             health_reports: HealthReports::default(),
             rate_reports: RateReports::default(),
             crash_reports: CrashReports::default(),
+            crash_file: None,
             voter: None,
             reopen_at: now,
             tables: RecentTables::default(),
@@ -172,6 +175,7 @@
     pub async fn run(mut self, mut inputs: Inputs) {
         self.add_seeds();
         self.recall_servers(self.clock.now());
+        self.recall_crashes(self.clock.now());
         self.tick().await;
         loop {
             let wake = self.clock.instant(self.next_wake());
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeam_discovery::SavedServers;
-use hornbeam_model::{Mono, RequestRate, Zone};
+use hornbeam_model::{CrashReport, Mono, RequestRate, Zone};
 use hornbeam_node::clock::unix_ms;
 use hornbeam_protocol::discovery::{
     ControllerMessage, EntryInfo, FeedChange, FeedDown, FleetStatus, LifeStage,
@@ -16,7 +16,7 @@
 use super::{Controller, Feed};
 use crate::api::ApiRequest;
 use crate::feed::{FeedEvent, FeedId};
-use crate::server_file::ServerFile;
+use crate::state_file::{self, CrashFile, ServerFile};
 
 /// Maximum number of servers in one message about stated rates.
 const MAX_RATE_REPORTS: usize = 500;
@@ -70,7 +70,7 @@
     /// Opens the file of known servers and recalls those that were saved recently.
     pub(super) fn recall_servers(&mut self, now: Mono) {
         let Some(data_dir) = &self.settings.data_dir else { return };
-        match ServerFile::open(data_dir) {
+        match ServerFile::open(data_dir, state_file::SERVERS) {
             Ok((file, saved)) => {
                 let claims = saved.recent(unix_ms() as u64);
                 let fields = json!({"belief": "servers_recalled", "servers": claims.len()});
@@ -85,6 +85,33 @@
         }
     }
 
+    /// Opens the file of crashed runs and recalls those that were saved.
+    pub(super) fn recall_crashes(&mut self, now: Mono) {
+        let Some(data_dir) = &self.settings.data_dir else { return };
+        match CrashFile::open(data_dir, state_file::CRASHES) {
+            Ok((file, saved)) => {
+                self.crash_reports.recall(now, unix_ms() as u64, saved);
+                self.crash_file = Some(file);
+            }
+            Err(e) => {
+                let fields = json!({"belief": "crashes_not_recalled", "reason": e.to_string()});
+                self.write_log("crashes_recalled", true, &fields);
+            }
+        }
+    }
+
+    /// Records crashed runs that an entry reports, saves them and passes on what is new.
+    fn on_crash_reports(&mut self, now: Mono, reports: Vec<CrashReport>) {
+        let new = self.crash_reports.record(now, reports);
+        if new.is_empty() {
+            return;
+        }
+        if let Some(file) = &self.crash_file {
+            file.save(self.crash_reports.to_save(now, unix_ms() as u64));
+        }
+        self.broadcast(&FeedDown::CrashReports(new));
+    }
+
     /// Saves the known servers if they have changed since the last time.
     pub(super) fn save_servers(&mut self) {
         if let Some(file) = &self.server_file
@@ -225,10 +252,7 @@
             FeedEvent::CrashReports(id, reports) => {
                 if let Some(feed) = self.feeds.get(&id) {
                     self.entry_heard_at.insert(feed.info.entry.clone(), now);
-                    let new = self.crash_reports.record(now, reports);
-                    if !new.is_empty() {
-                        self.broadcast(&FeedDown::CrashReports(new));
-                    }
+                    self.on_crash_reports(now, reports);
                 }
             }
             FeedEvent::FetchTable(id, have) => {
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod registry;
 pub mod saved_servers;
 
-pub use crash_reports::CrashReports;
+pub use crash_reports::{CrashReports, SavedCrashes};
 pub use directory::{Directory, ServerUpdate};
 pub use health_reports::HealthReports;
 pub use initial_sync::InitialSync;
--- a/crates/hornbeam_discovery/tests/crash_reports.rs
+++ b/crates/hornbeam_discovery/tests/crash_reports.rs
@@ -41,3 +41,16 @@
     reports.record(NOW + Duration::from_secs(700), Vec::new());
     assert!(reports.all(NOW).is_empty());
 }
+
+/// Runs grow older while a controller is down, also if its time of day was set back meanwhile.
+#[test]
+fn recalled_runs() {
+    let mut reports = CrashReports::default();
+    reports.record(NOW, vec![report(1, 1, false)]);
+    let saved = reports.to_save(NOW, 1_000_000);
+    for (unix_ms, kept) in [(1_300_000, 1), (1_700_000, 0), (990_000, 1)] {
+        let mut restarted = CrashReports::default();
+        restarted.recall(Mono(0), unix_ms, saved.clone());
+        assert_eq!(restarted.all(Mono(0)).len(), kept, "at {unix_ms}");
+    }
+}
--- a/crates/hornbeam_model/src/crash.rs
+++ b/crates/hornbeam_model/src/crash.rs
@@ -1,5 +1,7 @@
 //! Runs of requests during which their backend server ended.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{Fingerprint, Incarnation, Mono, ServerId};
@@ -65,6 +67,17 @@
 }
 
 impl CrashReport {
+    /// Returns the report after it was kept for this time.
+    #[must_use]
+    pub fn aged_by(self, time: Duration) -> Self {
+        let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            began_ms_ago: self.began_ms_ago.saturating_add(ms),
+            ended_ms_ago: self.ended_ms_ago.saturating_add(ms),
+            ..self
+        }
+    }
+
     /// Decodes the run from a message that arrived at `now`.
     pub fn into_run(self, now: Mono) -> CrashedRun {
         let at = |ms_ago: u32| now.0 as i64 - i64::from(ms_ago) * 1_000;
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -461,3 +461,39 @@
     let mut sound = Caller::new("sound".to_owned(), entries[0], stage.ledger.clone());
     assert_eq!(sound.ask("/lookup/1", true, &[]).await, Some(200));
 }
+
+/// All programs lose power after a request has ended three servers. What the controllers have saved
+/// keeps it from ending more.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashed_before_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut stage = stage(25, (2, 2), folder.path()).await;
+    for _ in 0..8 {
+        stage.add_server("tablet").await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let entries = stage.fleet.callers();
+    let mut callers: Vec<Caller> = Vec::new();
+    for (i, entry) in entries.iter().enumerate() {
+        callers.push(Caller::new(format!("crash{i}"), *entry, stage.ledger.clone()));
+    }
+    for turn in 0..6 {
+        callers[turn % 2].ask("/write/crash", false, &[]).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    let ended = |s: &FleetRun| s.servers.iter().filter(|s| s.server.has_ended()).count();
+    let before = ended(&stage);
+    assert!((3..=6).contains(&before), "{before} servers ended");
+    for i in 0..stage.fleet.programs.len() {
+        stage.fleet.programs[i].kill().await;
+    }
+    for i in 0..stage.fleet.programs.len() {
+        stage.fleet.start_program(i, false).unwrap();
+    }
+    assert!(stage.fleet.wait_ready(Duration::from_secs(10)).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for caller in &mut callers {
+        assert_eq!(caller.ask("/write/crash", false, &[]).await, Some(503));
+    }
+    assert_eq!(ended(&stage), before, "servers ended after the restart");
+}
