A server that accepts nothing still gets a request now and then

Could happen here: a server that states a rate of zero got no request any more, so that its entries never saw a response without the rate. All entries together use a quarter of a request a second at least, which is one in four seconds. Test: server_rates zero_rate failed before (0 requests a second 30 s after the withdrawal) and passes.

--- a/crates/hornbeam_route/src/rate_limit.rs
+++ b/crates/hornbeam_route/src/rate_limit.rs
@@ -14,6 +14,9 @@
 /// Time for which the highest reported demand is used. Several controllers report it, and one that
 /// does not hear all entries reports too little.
 const DEMAND_TTL: Duration = Duration::from_millis(600);
+/// Lowest rate that is used, in requests a second: a server that gets nothing cannot state that it
+/// has recovered.
+const MIN_RATE: f64 = 0.25;
 /// Percentage of the rate that is divided equally, so that an entry without requests so far can send
 /// its first ones.
 const EQUAL_PERCENT: f64 = 10.0;
@@ -80,16 +83,19 @@
         (by_demand * (100.0 - EQUAL_PERCENT) + equal * EQUAL_PERCENT) / 100.0
     }
 
+    /// Returns the requests per second that all entries together may send.
+    fn rate(&self) -> f64 {
+        self.statement.rate.map_or(f64::INFINITY, |rate| rate.per_second().max(MIN_RATE))
+    }
+
     /// Returns the requests per second that this entry may send.
     fn allowed_rate(&self, now: Mono, entries: u32) -> f64 {
-        let rate = self.statement.rate.map_or(f64::INFINITY, RequestRate::per_second);
-        rate * self.part(now, entries)
+        self.rate() * self.part(now, entries)
     }
 
     fn refill(&mut self, now: Mono, entries: u32) {
-        let rate = self.statement.rate.map_or(0.0, RequestRate::per_second);
         let allowed = self.allowed_rate(now, entries);
-        let idle = IDLE_TOKENS + rate * IDLE_TOKENS_TIME.as_secs_f64();
+        let idle = IDLE_TOKENS + self.rate() * IDLE_TOKENS_TIME.as_secs_f64();
         let idle = (idle / f64::from(entries.max(1))).min(1.0);
         let is_wanted = self.wanted_at.is_some_and(|at| now.since(at) < WANTED_TIME);
         let cap = if is_wanted { 1.0 } else { idle };
--- a/crates/hornbeam_route/tests/server_rates.rs
+++ b/crates/hornbeam_route/tests/server_rates.rs
@@ -161,6 +161,24 @@
     assert!(most as f64 <= allowed(2.0), "{most} in a window");
 }
 
+/// A server that states that it accepts nothing still gets a request now and then, from which the
+/// entries learn that it has recovered.
+#[test]
+fn zero_rate() {
+    let mut world = start(6, 3, 0.4, 0.0, NO_FAULTS);
+    let binds_at = world.now + NOTICE_TIME;
+    offer_load(&mut world, 60);
+    world.run(20 * SECOND);
+    let most = most_in_window(&world, binds_at);
+    assert!(most as f64 <= allowed(0.0), "{most} in a window");
+    world.set_rate("s0-0", None);
+    world.run(30 * SECOND);
+    let since = world.now;
+    world.run(8 * SECOND);
+    let rate = arrivals_since(&world, since) / 8.0;
+    assert!(rate > RATE, "{rate:.1} requests a second");
+}
+
 /// A server that states no rate any more gets its usual part again.
 #[test]
 fn withdrawn_rate() {
