--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -37,9 +37,9 @@
 /// longer one before it has read all of it.
 const MAX_REUSE_BODY_BYTES: usize = 8 << 10;
 
-/// Checks after a lost connection, and their interval, before a server counts as running.
-const END_CHECKS: u32 = 2;
-const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a lost connection until its server is checked: a server that ends closes its connections
+/// and its listener one after the other.
+const END_CHECK_DELAY: Duration = Duration::from_millis(50);
 
 struct IdleConnection {
     stream: TcpStream,
@@ -91,23 +91,16 @@
         self.idle.borrow_mut().remove(server);
     }
 
-    /// Returns true if nothing listens at the address of a server any more. A server that ends closes
-    /// its connections and its listener one after the other, so that one successful connection does
-    /// not show that it is running.
+    /// Returns true if nothing listens at the address of a server any more, some time after a
+    /// connection to it was lost.
     pub async fn has_ended(&self, server: &ServerId, address: SocketAddr) -> bool {
-        for _ in 0..END_CHECKS {
-            if !self.has_open_connection(server) {
-                let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-                match connect.await {
-                    Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => return true,
-                    Ok(Ok(_)) => {}
-                    // An unreachable server may be running.
-                    Ok(Err(_)) | Err(_) => return false,
-                }
-            }
-            tokio::time::sleep(END_CHECK_INTERVAL).await;
+        tokio::time::sleep(END_CHECK_DELAY).await;
+        if self.has_open_connection(server) {
+            return false;
         }
-        false
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        // An unreachable server may be running.
+        matches!(connect.await, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
     }
 
     fn has_open_connection(&self, server: &ServerId) -> bool {
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -11,7 +11,7 @@
 
 use hornbeam_discovery::{CrashReports, Directory, FeedCounts, ServerUpdate};
 use hornbeam_model::{
-    CrashReport, InstanceId, Mono, RateReport, RequestRate, Routing, TableVersion,
+    CrashReport, InstanceId, Mono, RateReport, RequestRate, Routing, ServerId, TableVersion,
 };
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
@@ -111,7 +111,8 @@
     directory: Directory,
     feeds: IndexMap<InstanceId, Feed>,
     table: Arc<Routing>,
-    /// Requests in flight at servers that ended, for controllers that have been restarted.
+    /// What this entry has reported of requests in flight at servers that ended, for controllers that
+    /// have been restarted.
     crash_reports: CrashReports,
     /// Counts that were published last.
     feed_counts: FeedCounts,
@@ -234,6 +235,11 @@
     fn send_report(&mut self, report: EntryReport) {
         let now = self.params.clock.now();
         let crashes = self.crash_reports.record(now, report.crashes);
+        let connected: Vec<InstanceId> =
+            self.feeds.iter().filter(|(_, f)| f.connected).map(|(name, _)| name.clone()).collect();
+        let directory = &self.directory;
+        let claimed_anywhere =
+            |server: &ServerId| connected.iter().any(|c| directory.is_claimed_by(c, server));
         for (controller, feed) in self.feeds.iter_mut().filter(|(_, f)| f.connected) {
             // A feed that has just been lost sends the next report once it is reopened.
             let _ = feed.tx.send(FeedUp::Demand(report.demand));
@@ -246,7 +252,11 @@
                 // A feed that has just been lost sends them once it is reopened.
                 let _ = feed.tx.send(FeedUp::HealthReports(reports));
             }
-            feed.send_crash_reports(&crashes);
+            let concerned = crashes.iter().filter(|r| {
+                let server = r.server();
+                !claimed_anywhere(server) || self.directory.is_claimed_by(controller, server)
+            });
+            feed.send_crash_reports(&concerned.cloned().collect::<Vec<_>>());
             let claimed =
                 |r: &&RateReport| self.directory.is_claimed_by(controller, &r.statement.server);
             let rates: Vec<RateReport> = report.rates.iter().filter(claimed).cloned().collect();
@@ -307,8 +317,7 @@
             },
             FeedDown::Table(table) => self.on_table((*table).clone()),
             FeedDown::CrashReports(reports) => {
-                let new = self.crash_reports.record(now, reports);
-                self.publish(FeedEvent::CrashReports(new));
+                self.publish(FeedEvent::CrashReports(reports));
             }
             FeedDown::RateReports(reports) => self.publish(FeedEvent::RateReports(reports)),
             FeedDown::Entries(entries) => self.on_entries(from, entries),
--- a/crates/hornbeam_model/src/crash.rs
+++ b/crates/hornbeam_model/src/crash.rs
@@ -67,6 +67,11 @@
 }
 
 impl CrashReport {
+    /// Returns the server that ended.
+    pub fn server(&self) -> &ServerId {
+        &self.server
+    }
+
     /// Returns the report after it was kept for this time.
     #[must_use]
     pub fn aged_by(self, time: Duration) -> Self {
