--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, unused_imports)]
 
+mod crashes;
 pub mod harness;
+mod rates;
 mod routes;
 mod sim_server;
 mod sites;
@@ -24,6 +26,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+pub use rates::ReportFaults;
 use routes::{ZONES, engine_params, entry_name, entry_number, usable};
 pub use routes::{budget, scatter, service, single};
 pub use sim_server::{Fault, SimServer};
@@ -36,10 +39,6 @@
 
 /// Interval in which entries hear the request rate of all entries.
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Time in which a server that has ended starts again.
-const RESTART_TIME: Duration = Duration::from_secs(1);
-/// Delay of a late report.
-const LATE_REPORT: Duration = Duration::from_millis(900);
 /// Time in which a refusal reaches its caller and the next request reaches an entry.
 const CALLER_LATENCY: Duration = Duration::from_millis(2);
 
@@ -101,14 +100,6 @@
     ReportsLost,
 }
 
-/// Fractions of the reports between entries and controllers that are lost, late or doubled.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ReportFaults {
-    pub lost: f64,
-    pub late: f64,
-    pub doubled: f64,
-}
-
 /// A request that has ended.
 #[derive(Clone, Debug)]
 pub struct EndedRequest {
@@ -545,50 +536,6 @@
         }
     }
 
-    /// Exchanges reports of stated rates through a controller from now on.
-    pub fn report_rates(&mut self, faults: ReportFaults) {
-        self.report_faults = faults;
-        self.schedule(self.now, Event::ReportRates);
-    }
-
-    fn exchange_rates(&mut self) {
-        let now = self.now;
-        let ReportFaults { lost, late, doubled } = self.report_faults;
-        for entry in 0..self.engines.len() {
-            let reports = self.engines[entry].rate_reports(now);
-            if !self.rng.random_bool(lost) {
-                self.rate_reports.record(now, &entry_name(entry), reports);
-            }
-        }
-        let summary = self.rate_reports.summary(now);
-        let number = self.seq;
-        self.rate_messages.insert(number, summary);
-        for entry in 0..self.engines.len() {
-            if self.rng.random_bool(lost) {
-                continue;
-            }
-            let delay = if self.rng.random_bool(late) { LATE_REPORT } else { ONE_WAY_LATENCY };
-            self.schedule(now + delay, Event::RatesArrive(entry, number));
-            if self.rng.random_bool(doubled) {
-                self.schedule(now + 2 * LATE_REPORT, Event::RatesArrive(entry, number));
-            }
-        }
-        self.schedule(now + DEMAND_REPORT_INTERVAL, Event::ReportRates);
-    }
-
-    /// Sets the rate that a server states in its responses.
-    pub fn set_rate(&mut self, server: &str, rate: Option<f64>) {
-        let name: ServerId = server.parse().unwrap();
-        let rate = rate.and_then(RequestRate::from_per_second);
-        self.servers[self.by_name[&name]].rate = rate;
-    }
-
-    /// Times at which requests arrived at a server.
-    pub fn arrival_times(&self, server: &str) -> &[Mono] {
-        let name: ServerId = server.parse().unwrap();
-        &self.servers[self.by_name[&name]].arrived_at
-    }
-
     fn send_message(&mut self, entry: usize, from: usize, message: PeerMessage) {
         let number = self.seq;
         self.peer_messages.insert(number, message);
@@ -922,19 +869,6 @@
         }
     }
 
-    /// Ends a server with everything that it runs or has queued, and starts it again.
-    fn crash_server(&mut self, server: usize) {
-        let s = &mut self.servers[server];
-        s.incarnation += 1;
-        let mut lost = std::mem::take(&mut s.running);
-        lost.extend(s.queue.drain(..).map(|(attempt, ..)| attempt));
-        for attempt in lost {
-            let at = self.now + ONE_WAY_LATENCY;
-            self.schedule(at, Event::AttemptFinished(attempt, server, 5));
-        }
-        self.schedule(self.now + RESTART_TIME, Event::ServerStarts(server));
-    }
-
     fn on_work_end(&mut self, server: usize, attempt: AttemptKey, outcome: u8) {
         if !self.servers[server].running.contains(&attempt) {
             return;
