A response clears a request whose server is still being checked

Could happen here: the response to a retry often arrives before it is known that the first server has ended, 50 ms later. A run is now recorded with the lost connection, cleared by any response from then on, and counts once its server is known to have ended; it is forgotten if the server is running. Test: crash_suspects response_before_check failed before and passes; the others confirm the ends that they record.

--- a/crates/hornbeam_model/src/crash.rs
+++ b/crates/hornbeam_model/src/crash.rs
@@ -49,7 +49,12 @@
 
     /// Returns true if both are about the same end of a server.
     pub fn is_same_end(&self, other: &Self) -> bool {
-        self.server == other.server && self.incarnation == other.incarnation
+        self.is_at(&other.server, other.incarnation)
+    }
+
+    /// Returns true if the run was at this start of a server.
+    pub fn is_at(&self, server: &ServerId, incarnation: Incarnation) -> bool {
+        self.server == *server && self.incarnation == incarnation
     }
 
     /// Encodes the run for a message that is sent at `now`.
--- a/crates/hornbeam_route/src/crash_history.rs
+++ b/crates/hornbeam_route/src/crash_history.rs
@@ -18,7 +18,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use hornbeam_model::{CrashReport, CrashedRun, Fingerprint, Mono};
+use hornbeam_model::{CrashReport, CrashedRun, Fingerprint, Incarnation, Mono, ServerId};
 use indexmap::IndexMap;
 
 /// Servers that a request must have ended, one after the other, before it is quarantined.
@@ -39,12 +39,21 @@
 #[derive(Debug)]
 struct KnownRun {
     run: CrashedRun,
+    /// False until a check has shown that the server has ended; until then the run does not count.
+    confirmed: bool,
     /// True if it is not reported yet, or not that it is cleared.
     unreported: bool,
     /// True if other entries know the run.
     shared: bool,
 }
 
+impl KnownRun {
+    /// Returns true if the run counts against its request.
+    fn counts(&self) -> bool {
+        self.confirmed && !self.run.cleared
+    }
+}
+
 /// Runs during which servers ended, by request, and the requests that are not sent any more.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
@@ -77,19 +86,43 @@
         self.suspects.get(&fingerprint).map_or(0, |runs| successive_crashes(runs, &[]))
     }
 
-    /// Records a run that this entry has observed. Its fingerprint names the service if the request is
-    /// a search.
+    /// Records a run whose connection was lost; it counts once its server is known to have ended. Its
+    /// fingerprint names the service if the request is a search.
     pub fn record(&mut self, now: Mono, run: CrashedRun) {
-        let mut changed = false;
         for fingerprint in scopes(run.fingerprint) {
             // Other entries derive the wider scopes from the run itself.
             let unreported = fingerprint == run.fingerprint;
             let run = CrashedRun { fingerprint, ..run.clone() };
-            changed |= self.insert(now, KnownRun { run, unreported, shared: false });
+            self.insert(now, KnownRun { run, confirmed: false, unreported, shared: false });
         }
-        if changed {
-            self.update_quarantine(now);
+    }
+
+    /// Records that a server has ended; returns the requests whose runs count from now on.
+    pub fn confirm_end(
+        &mut self,
+        now: Mono,
+        server: &ServerId,
+        incarnation: Incarnation,
+    ) -> Vec<Fingerprint> {
+        let mut confirmed = Vec::new();
+        for known in self.suspects.values_mut().flatten().filter(|known| !known.confirmed) {
+            if known.run.is_at(server, incarnation) {
+                known.confirmed = true;
+                if known.unreported && !known.run.cleared {
+                    confirmed.push(known.run.fingerprint);
+                }
+            }
         }
+        self.update_quarantine(now);
+        confirmed
+    }
+
+    /// Records that a server is running: the connections to it were lost for another reason.
+    pub fn discard_unconfirmed(&mut self, server: &ServerId, incarnation: Incarnation) {
+        self.suspects.retain(|_, runs| {
+            runs.retain(|known| known.confirmed || !known.run.is_at(server, incarnation));
+            !runs.is_empty()
+        });
     }
 
     /// Records the runs that other entries have reported.
@@ -97,7 +130,7 @@
         let mut changed = false;
         for report in reports {
             let run = report.into_run(now);
-            let known = |run| KnownRun { run, unreported: false, shared: true };
+            let known = |run| KnownRun { run, confirmed: true, unreported: false, shared: true };
             if run.cleared {
                 changed |= self.insert(now, known(run));
                 continue;
@@ -134,7 +167,10 @@
         let latest = now.0 as i64 - REPORT_DELAY.as_micros() as i64;
         let mut reports = Vec::new();
         let mut reported = Vec::new();
-        for known in self.suspects.values_mut().flatten().filter(|known| known.unreported) {
+        for known in self.suspects.values_mut().flatten() {
+            if !known.unreported || !known.confirmed {
+                continue;
+            }
             if known.run.cleared {
                 known.unreported = false;
                 if known.shared {
@@ -171,10 +207,12 @@
         }
         let runs = self.suspects.entry(run.fingerprint).or_default();
         if let Some(known) = runs.iter_mut().find(|known| known.run.is_same_run(run)) {
-            let newly_cleared = run.cleared && !known.run.cleared;
+            let changed =
+                (run.cleared && !known.run.cleared) || (new.confirmed && !known.confirmed);
+            known.confirmed |= new.confirmed;
             known.run.cleared |= run.cleared;
             known.shared |= new.shared;
-            return newly_cleared;
+            return changed;
         }
         runs.push(new);
         runs.sort_by_key(|known| known.run.span.ended);
@@ -223,7 +261,7 @@
                 return;
             }
             let runs = &self.suspects[&fingerprint];
-            let uncleared = runs.iter().map(|known| &known.run).filter(|run| !run.cleared);
+            let uncleared = runs.iter().filter(|known| known.counts()).map(|known| &known.run);
             let last = uncleared.clone().map(|run| run.span.ended).max().unwrap_or_default();
             explained.extend(uncleared.cloned());
             let age = Duration::from_micros((now.0 as i64 - last).max(0) as u64);
@@ -251,8 +289,9 @@
 fn successive_runs(runs: &[KnownRun], explained: &[CrashedRun]) -> Vec<usize> {
     let mut counted = Vec::new();
     let mut last_end = i64::MIN;
-    for (i, run) in runs.iter().map(|known| &known.run).enumerate() {
-        let counts = !run.cleared && !explained.iter().any(|other| other.is_same_end(run));
+    for (i, known) in runs.iter().enumerate() {
+        let run = &known.run;
+        let counts = known.counts() && !explained.iter().any(|other| other.is_same_end(run));
         if counts && run.span.began >= last_end {
             counted.push(i);
             last_end = run.span.ended;
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -11,13 +11,6 @@
 use super::{Engine, InFlightAttempt, Output};
 use crate::decision::Decision;
 
-/// Runs whose connections to a server were lost, until it is known whether the server has ended.
-#[derive(Debug)]
-pub(super) struct PendingCheck {
-    incarnation: Incarnation,
-    runs: Vec<(Fingerprint, RunSpan)>,
-}
-
 impl Engine {
     /// Returns the runs during which servers ended that this entry has observed or cleared since the
     /// last call, to report them to the other entries.
@@ -83,24 +76,22 @@
         self.crash_history.clear(now, fingerprint);
     }
 
-    /// Checks whether a server to which a connection was lost has ended.
+    /// Makes the request of an attempt whose connection was lost a suspect, and checks whether its
+    /// server has ended.
     pub(super) fn check_server(
         &mut self,
         now: Mono,
         in_flight: &InFlightAttempt,
         out: &mut Vec<Output>,
     ) {
-        let server = &self.servers[in_flight.server];
+        let fingerprint = self.run_fingerprint(in_flight);
         let span = RunSpan { began: in_flight.sent_at.0 as i64, ended: now.0 as i64 };
-        let run = (self.run_fingerprint(in_flight), span);
+        let server = &self.servers[in_flight.server];
         let (id, incarnation, address) = (server.id.clone(), server.incarnation, server.address);
-        match self.pending_checks.get_mut(&id) {
-            Some(check) if check.incarnation == incarnation => check.runs.push(run),
-            _ => {
-                let check = PendingCheck { incarnation, runs: vec![run] };
-                self.pending_checks.insert(id.clone(), check);
-                out.push(Output::CheckServer { server: id, incarnation, address });
-            }
+        let run = CrashedRun { fingerprint, server: id.clone(), incarnation, span, cleared: false };
+        self.crash_history.record(now, run);
+        if self.pending_checks.insert(id.clone(), incarnation) != Some(incarnation) {
+            out.push(Output::CheckServer { server: id, incarnation, address });
         }
     }
 
@@ -111,13 +102,11 @@
         has_ended: bool,
         out: &mut Vec<Output>,
     ) {
-        let check = self.pending_checks.get(server);
-        if check.is_none_or(|check| check.incarnation != incarnation) {
-            return;
+        if self.pending_checks.get(server) == Some(&incarnation) {
+            self.pending_checks.swap_remove(server);
         }
-        let Some(check) = self.pending_checks.swap_remove(server) else { return };
         if !has_ended {
-            return;
+            return self.crash_history.discard_unconfirmed(server, incarnation);
         }
         if let Some(idx) = self.server_names.get(server).copied()
             && self.servers[idx].incarnation == incarnation
@@ -125,20 +114,10 @@
             self.servers[idx].eject(now);
             out.push(Output::CloseIdle(server.clone()));
         }
-        let mut suspects = Vec::new();
-        for (fingerprint, span) in check.runs {
-            let cleared = false;
+        for fingerprint in self.crash_history.confirm_end(now, server, incarnation) {
+            let crashes = self.crash_history.crashes(fingerprint);
             let server = server.clone();
-            let run = CrashedRun { fingerprint, server, incarnation, span, cleared };
-            self.crash_history.record(now, run);
-            suspects.push((fingerprint, self.crash_history.crashes(fingerprint)));
-        }
-        for (fingerprint, crashes) in suspects {
-            out.push(Output::Log(Decision::ServerEnded {
-                server: server.clone(),
-                fingerprint,
-                crashes,
-            }));
+            out.push(Output::Log(Decision::ServerEnded { server, fingerprint, crashes }));
         }
         self.drop_quarantined(now, out);
     }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -112,7 +112,7 @@
     rate_limits: RateLimits,
     crash_history: CrashHistory,
     /// Servers that are being checked; bounded by the attempts in flight.
-    pending_checks: IndexMap<ServerId, crashes::PendingCheck>,
+    pending_checks: IndexMap<ServerId, Incarnation>,
     /// Quarantined requests as they were logged last.
     logged_quarantines: Vec<Fingerprint>,
     zones: ZoneReachability,
--- a/crates/hornbeam_route/tests/crash_suspects.rs
+++ b/crates/hornbeam_route/tests/crash_suspects.rs
@@ -38,11 +38,18 @@
 fn history(runs: Vec<CrashedRun>) -> CrashHistory {
     let mut history = CrashHistory::default();
     for run in runs {
-        history.record(NOW, run);
+        record(&mut history, run);
     }
     history
 }
 
+/// Records a run at a server that is known to have ended.
+fn record(history: &mut CrashHistory, run: CrashedRun) {
+    let (server, incarnation) = (run.server.clone(), run.incarnation);
+    history.record(NOW, run);
+    history.confirm_end(NOW, &server, incarnation);
+}
+
 fn is_quarantined(history: &CrashHistory, fingerprint: Fingerprint) -> bool {
     history.quarantined_until(NOW, fingerprint).is_some()
 }
@@ -51,7 +58,7 @@
 fn three_in_succession() {
     let mut history = history(successive(CULPRIT)[..2].to_vec());
     assert!(!is_quarantined(&history, CULPRIT));
-    history.record(NOW, successive(CULPRIT)[2].clone());
+    record(&mut history, successive(CULPRIT)[2].clone());
     assert!(is_quarantined(&history, CULPRIT));
     let until = history.quarantined_until(NOW, CULPRIT).unwrap();
     assert!(history.quarantined_until(until, CULPRIT).is_none(), "a quarantine ends");
@@ -74,7 +81,7 @@
         for shard in 0..40 {
             let sent = 9_000 - 3_000 * i64::from(round);
             let lost = sent - 50 - i64::from(shard);
-            history.record(NOW, run(CULPRIT, 100 * round + shard, sent, lost));
+            record(&mut history, run(CULPRIT, 100 * round + shard, sent, lost));
         }
     }
     assert!(is_quarantined(&history, CULPRIT));
@@ -97,7 +104,7 @@
     let mut history = history(successive(BESIDE));
     history.clear(NOW, BESIDE);
     assert!(!is_quarantined(&history, BESIDE));
-    history.record(NOW, run(BESIDE, 7, 100, 50));
+    record(&mut history, run(BESIDE, 7, 100, 50));
     assert!(!is_quarantined(&history, BESIDE), "earlier runs stay cleared");
 }
 
@@ -181,10 +188,8 @@
 fn bounded_suspects() {
     let mut history = history(successive(CULPRIT));
     for content in 0..5_000 {
-        history.record(
-            NOW,
-            run(Fingerprint { caller: 9, content, query: Some(0), service: None }, 50, 300, 200),
-        );
+        let fingerprint = Fingerprint { caller: 9, content, query: Some(0), service: None };
+        record(&mut history, run(fingerprint, 50, 300, 200));
     }
     assert!(history.take_reports(NOW).len() <= 1_024 * 64);
     assert!(is_quarantined(&history, CULPRIT));
@@ -330,3 +335,23 @@
     let Completion::Merge { missing, .. } = world.ended[0].completion else { panic!("refused") };
     assert_eq!(missing, 1);
 }
+
+/// The response to a retry arrives before it is known that the first server has ended.
+#[test]
+fn response_before_check() {
+    let mut harness = harness();
+    let attempt = harness.request(NOW, 7).expect("sent");
+    let outcome = AttemptOutcome::ConnectionLost;
+    let notice = Default::default();
+    harness.step(NOW + MS, Input::AttemptFinished { attempt, outcome, notice });
+    let check = harness.out.iter().find_map(|o| match o {
+        Output::CheckServer { server, incarnation, .. } => Some((server.clone(), *incarnation)),
+        _ => None,
+    });
+    let retry = harness.take_attempt().expect("the request may run twice");
+    harness.finish_attempt(NOW + 2 * MS, retry, AttemptOutcome::Answered);
+    let (server, incarnation) = check.expect("the server is checked");
+    let checked = Input::ServerChecked { server, incarnation, has_ended: true };
+    harness.step(NOW + 50 * MS, checked);
+    assert!(harness.engine.take_crash_reports(NOW + 400 * MS).is_empty());
+}
