explain says that a quarantined request has not run

Found while reading the change once more: hornbeamctl explain did not know the reason and wrote 'may have run', although a quarantined request reaches no server.

--- a/crates/hornbeamctl/tests/explanations.rs
+++ b/crates/hornbeamctl/tests/explanations.rs
@@ -70,6 +70,15 @@
     assert!(cause.contains("has not run") && cause.contains("14 requests waited"), "{cause}");
 }
 
+/// A quarantined request reached no server, and the operator is told so.
+#[test]
+fn quarantined_request() {
+    let log = r#"{"unix_ms":1,"instance":"e","decision":"refused","request":"qqq","route":"lookup","reason":"quarantined","took_ms":0,"parts":0,"sends":0,"retry_after_ms":600000,"queue":0,"usable":5}"#;
+    let cause = explain("qqq", parse(log)).cause;
+    assert!(cause.contains("has not run") && !cause.contains("may have run"), "{cause}");
+    assert!(cause.contains("servers have ended"), "{cause}");
+}
+
 #[test]
 fn lost_write() {
     let cause = cause("ddd");
