Shards that a zone cannot reach are gathered in another one

Cause: a shard that the gathering entry reached no server of was missing, although entries of other zones reach it. It is reported as sent to nothing, and relayed once to an entry of another zone if possible; if that reaches no server either, no entry is asked for the service for 500 ms. Entries that state that they gather nothing are probed on the open connection.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -296,7 +296,9 @@
             Output::ConfirmGroup(group) => self.group_exchange.confirm(group),
             // Cancellations are collected in `step`.
             Output::CancelGroup(_) => {}
-            Output::ProbePeer { peer, address } => self.group_exchange.probe(self, &peer, address),
+            Output::ProbePeer { peer, address, path } => {
+                self.group_exchange.probe(self, &peer, address, path);
+            }
             Output::GroupResponses {
                 request,
                 responses,
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -18,7 +18,8 @@
     ForwardedResponse, GatherDown, GatherRequest, GatherUp, GatheredResponses, GroupRefusal,
 };
 use hornbeam_route::{
-    Delegation, GroupEvent, GroupReport, GroupRequest, Input, LeavingServer, Refusal, RefusalKind,
+    Delegation, GroupEvent, GroupReport, GroupRequest, Input, LeavingServer, ProbePath, Refusal,
+    RefusalKind,
 };
 use tokio::net::{TcpListener, TcpStream};
 
@@ -129,11 +130,12 @@
         }
     }
 
-    /// Sends a heartbeat to a suspected entry on a new connection: a broken connection looks like
-    /// an entry that has stopped.
-    pub fn probe(&self, core: &Rc<Core>, peer: &InstanceId, address: SocketAddr) {
+    /// Sends a heartbeat to an entry that gets no groups.
+    pub fn probe(&self, core: &Rc<Core>, peer: &InstanceId, address: SocketAddr, path: ProbePath) {
         let mut links = self.links.borrow_mut();
-        if let Some(Link { state: LinkState::Open(connection), .. }) = links.get(peer) {
+        if path == ProbePath::NewConnection
+            && let Some(Link { state: LinkState::Open(connection), .. }) = links.get(peer)
+        {
             connection.close();
             links.remove(peer);
         }
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -239,29 +239,18 @@
         if last {
             self.remove_group(group);
             let mut unsent_shards = Vec::new();
-            let peer_gathers = self.peers.is_usable(&peer);
             for (position, shard) in shards.into_iter().enumerate() {
                 let open = |r: &RunningRequest| r.shards[shard].status == ShardStatus::Open;
                 if !self.requests.get(&key).is_some_and(open) {
                     continue;
                 }
-                let is_unsent = unsent.contains(&position);
-                if is_unsent && !peer_gathers {
+                if unsent.contains(&position) {
                     unsent_shards.push(shard);
-                    continue;
-                }
-                if is_unsent && is_relay {
-                    self.mark_unservable(now, key, shard);
-                }
-                self.mark_missing(key, shard);
-            }
-            if let Some(running) = self.requests.get_mut(&key) {
-                for shard in &unsent_shards {
-                    running.shards[*shard].reclaim(true);
+                } else {
+                    self.mark_missing(key, shard);
                 }
             }
-            self.retry_shards(now, key, unsent_shards, out);
-            self.arm_timer(key);
+            self.retry_unsent(now, key, unsent_shards, (&peer, is_relay), out);
         }
         self.complete_if_decided(now, key, out);
     }
@@ -388,8 +377,8 @@
     }
 
     pub(super) fn probe_peers(&mut self, now: Mono, out: &mut Vec<Output>) {
-        for peer in self.peers.start_due_probes(now) {
-            out.push(Output::ProbePeer { peer: peer.name, address: peer.address });
+        for (peer, path) in self.peers.start_due_probes(now) {
+            out.push(Output::ProbePeer { peer: peer.name, address: peer.address, path });
         }
     }
 }
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -14,7 +14,7 @@
 use crate::budget::RetryBudgetParams;
 use crate::decision::{AttemptKind, Decision};
 use crate::notice::{LeavingServer, ServerNotice};
-use crate::peers::Peer;
+use crate::peers::{Peer, ProbePath};
 use crate::request::Refusal;
 
 /// Parameters of an engine.
@@ -331,12 +331,14 @@
     ConfirmGroup(AttemptId),
     /// Cancel a group at the gathering entry.
     CancelGroup(AttemptId),
-    /// Probe a suspected entry.
+    /// Probe an entry that gets no groups.
     ProbePeer {
-        /// Suspected entry.
+        /// The entry.
         peer: InstanceId,
         /// Address on which it accepts groups.
         address: SocketAddr,
+        /// Connection to probe it on.
+        path: ProbePath,
     },
     /// Report shard responses of a gathered group to the origin entry.
     GroupResponses {
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -144,6 +144,42 @@
         }
     }
 
+    /// Sends shards again that `peer` sent to no server. One that gathers nothing any more says nothing
+    /// about their servers. Otherwise one more entry is asked, and if it does not reach them either, no
+    /// entry is asked for a while.
+    pub(super) fn retry_unsent(
+        &mut self,
+        now: Mono,
+        key: QueryId,
+        shards: Vec<usize>,
+        (peer, was_relay): (&InstanceId, bool),
+        out: &mut Vec<Output>,
+    ) {
+        let Some(running) = self.requests.get_mut(&key) else { return };
+        for shard in &shards {
+            running.shards[*shard].reclaim(true);
+        }
+        if !self.peers.is_usable(peer) {
+            self.retry_shards(now, key, shards, out);
+            return self.arm_timer(key);
+        }
+        let mut again = Vec::new();
+        for shard in shards {
+            let service = self.requests.get(&key).map(|r| r.shards[shard].service);
+            let unservable = service.is_some_and(|s| now < self.services[s].unservable_until());
+            if was_relay {
+                self.mark_unservable(now, key, shard);
+            }
+            if was_relay || unservable {
+                self.mark_missing(key, shard);
+            } else {
+                again.push(shard);
+            }
+        }
+        self.relay(now, key, &again, Some(peer), out);
+        self.arm_timer(key);
+    }
+
     /// Handles the response of a server to a relayed request for a single service.
     pub(super) fn on_forwarded(
         &mut self,
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -48,5 +48,5 @@
 };
 pub use merge::merge_records;
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
-pub use peers::{Peer, Peers};
+pub use peers::{Peer, Peers, ProbePath};
 pub use request::{Refusal, RefusalKind};
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -50,6 +50,15 @@
     Declining,
 }
 
+/// How another entry is probed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbePath {
+    /// On the connection to it, if one is open.
+    OpenConnection,
+    /// On a new connection: a broken one looks like an entry that has stopped.
+    NewConnection,
+}
+
 #[derive(Debug)]
 struct PeerState {
     peer: Peer,
@@ -145,15 +154,18 @@
     }
 
     /// Chooses the entry that gathers what this entry cannot reach, and counts the group as delegated
-    /// to it: the one with the fewest groups of this entry, if possible in this zone. `tried` has
-    /// refused the group before.
+    /// to it: the one with the fewest groups of this entry, if possible in this zone. `tried` could
+    /// not gather the group, so an entry of another zone than its own is more likely to.
     pub fn choose_relay(&mut self, tried: Option<&InstanceId>, rng: &mut SmallRng) -> Option<Peer> {
         let usable = (0..self.peers.len()).filter(|i| self.peers[*i].is_usable());
+        let tried = tried.and_then(|name| self.peers.get(name)).map(|p| &p.peer);
         let least = usable.min_by_key(|i| {
             let state = &self.peers[*i];
-            let was_tried = tried == Some(&state.peer.name);
+            let was_tried = tried.is_some_and(|t| t.name == state.peer.name);
+            let zone_was_tried = tried.is_some_and(|t| t.zone == state.peer.zone);
             let other_zone = state.peer.zone != self.zone;
-            (was_tried, state.groups, other_zone, rng.random_range(0..u32::MAX))
+            let draw = rng.random_range(0..u32::MAX);
+            (was_tried, zone_was_tried, state.groups, other_zone, draw)
         })?;
         Some(self.count_group(least))
     }
@@ -250,7 +262,7 @@
 
     /// Returns entries that get no groups and whose next probe is due, and counts these probes as
     /// sent.
-    pub fn start_due_probes(&mut self, now: Mono) -> Vec<Peer> {
+    pub fn start_due_probes(&mut self, now: Mono) -> Vec<(Peer, ProbePath)> {
         if now.since(self.probing_since) >= PROBE_INTERVAL {
             self.probing_since = now;
             self.probes = 0;
@@ -265,7 +277,11 @@
         self.probes += due.len();
         let probed = due.into_iter().map(|p| {
             p.probed_at = now;
-            p.peer.clone()
+            let path = match p.availability {
+                Availability::Suspected => ProbePath::NewConnection,
+                Availability::Usable | Availability::Declining => ProbePath::OpenConnection,
+            };
+            (p.peer.clone(), path)
         });
         probed.collect()
     }
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use common::{CONSORTIUM, LinkFault, Site, World, scatter, single};
+use common::{CONSORTIUM, Fault, LinkFault, Site, World, scatter, single};
 use hornbeam_route::Decision;
 
 const MS: Duration = Duration::from_millis(1);
@@ -136,3 +136,47 @@
     let lost = world.decisions.iter().filter(|(_, d)| matches!(d, Decision::ServersLost { .. }));
     assert_eq!(lost.count(), 0);
 }
+
+/// Cuts the entries of one zone from all copies of a third of the shards.
+fn cut_third(world: &mut World) {
+    for entry in (0..world.engines.len()).filter(|e| e % 3 == 1) {
+        world.cut_servers(entry, LinkFault::Reset, |server| {
+            let shard =
+                server.as_str().split('-').next().and_then(|s| s[1..].parse::<usize>().ok());
+            shard.is_some_and(|s| s % 3 == 0)
+        });
+    }
+}
+
+#[test]
+fn partial_cut_of_zone() {
+    // The entries of the zone gather for each other, and none reaches these shards.
+    let zone = |entry: usize| entry % 3 == 1;
+    let mut world = large(7);
+    run(&mut world, 20.0, 3 * SECOND);
+    cut_third(&mut world);
+    run(&mut world, 20.0, DETECTION);
+    world.ended.clear();
+    run(&mut world, 20.0, 5 * SECOND);
+    assert_served_alike(&world, zone);
+}
+
+#[test]
+fn shards_down_for_all() {
+    // Entries ask each other for shards that none of them reaches only now and then.
+    let mut world = large(8);
+    run(&mut world, 20.0, 3 * SECOND);
+    for shard in 0..5 {
+        world.set_fault(&format!("s{shard}"), Fault::Refused);
+    }
+    run(&mut world, 20.0, DETECTION);
+    world.decisions.clear();
+    world.ended.clear();
+    run(&mut world, 20.0, 5 * SECOND);
+    let relayed = world.decisions.iter().filter(|(_, d)| matches!(d, Decision::Relayed { .. }));
+    // Twice a second for each of the five shards at each of 80 entries, at most.
+    let relayed = relayed.count();
+    assert!(relayed <= 2 * 5 * 5 * 80, "{relayed}");
+    let in_time = world.served_at(|_| true).0;
+    assert!(in_time >= 0.9, "{in_time}");
+}
