Detached entries are not taken for isolated

Cause: with all servers silent the other zones count as lost, and then a feed message within 200 ms decides, while controllers send every 400 ms. Without any server the links to the servers are lost, not the zones. Test: detached other_zones_in_touch failed before.

--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -296,8 +296,12 @@
         self.demand.rate(now)
     }
 
-    /// Returns true if there are servers in other zones, and all these zones are lost.
+    /// Returns true if there are servers in other zones, and all these zones are lost while servers of
+    /// this zone may respond. Without any server, the links to the servers are lost and not the zones.
     pub fn other_zones_lost(&self, now: Mono) -> bool {
+        if self.is_detached() {
+            return false;
+        }
         let servers = self.server_names.values().map(|i| &self.servers[*i]);
         let mut others = servers.filter(|s| !s.same_zone).peekable();
         others.peek().is_some() && others.all(|s| self.zones.is_lost(now, &s.zone))
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -180,3 +180,19 @@
     let in_time = world.served_at(|_| true).0;
     assert!(in_time >= 0.9, "{in_time}");
 }
+
+#[test]
+fn other_zones_in_touch() {
+    // A detached entry is not isolated from the fleet: its feeds were heard less than 200 ms ago only
+    // half of the time, and it told its peers every second that it is leaving.
+    let mut world = small(9);
+    run(&mut world, 20.0, 3 * SECOND);
+    world.detach_entry(0, LinkFault::Silent);
+    run(&mut world, 20.0, DETECTION);
+    let deadline = world.now + 3 * SECOND;
+    while world.now < deadline {
+        run(&mut world, 20.0, 50 * MS);
+        assert!(!world.engines[0].other_zones_lost(world.now));
+    }
+    assert!(world.engines[0].is_detached());
+}
