Every connection states when silence ends it

Cause: only links between entries and the streams of the control log set TCP_USER_TIMEOUT, no connection set keep-alive, and the HTTP clients had 30 s from their library. A connection that goes silent without a reset stayed in the pool, and what a library sets decided when probes give up.

Now one module names both for callers, servers, peers with feeds, and control, and each place that opens or accepts a connection applies it; the tools' clients use their own request timeouts.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -7,6 +7,7 @@
 use hornbeam_model::{CrashReport, RateReport, RequestRate, TableVersion};
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::program::next_connection;
+use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedUp, HealthReport};
 use tokio::io::AsyncRead;
@@ -80,7 +81,7 @@
     tx: &mpsc::UnboundedSender<FeedEvent>,
     id: FeedId,
 ) {
-    if stream.set_nodelay(true).is_err() {
+    if socket::prepare(&stream, socket::PEERS).is_err() {
         return;
     }
     let (mut read, mut write) = stream.into_split();
--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use hornbeam_model::{RequestRate, ServerId};
+use hornbeam_node::socket;
 use hornbeam_route::{Attempt, AttemptOutcome, PauseRequest, RateNotice, ServerNotice};
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap};
@@ -136,8 +137,7 @@
 async fn connect(address: SocketAddr) -> Option<TcpStream> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.ok()?.ok()?;
-    // With Nagle's algorithm a short request may wait for the acknowledgment of the previous one.
-    stream.set_nodelay(true).ok()?;
+    socket::prepare(&stream, socket::SERVERS).ok()?;
     Some(stream)
 }
 
--- a/crates/hornbeam_entry/src/feed_connection.rs
+++ b/crates/hornbeam_entry/src/feed_connection.rs
@@ -6,6 +6,7 @@
 
 use hornbeam_model::InstanceId;
 use hornbeam_node::frames::{read_frame, write_frame};
+use hornbeam_node::socket;
 use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedDown, FeedUp};
 use hornbeam_protocol::{FrameKey, MAX_STREAM_BYTES};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -75,7 +76,7 @@
             Ok(Err(e)) => return (false, e),
             Err(_) => return (false, std::io::ErrorKind::TimedOut.into()),
         };
-        if let Err(e) = stream.set_nodelay(true) {
+        if let Err(e) = socket::prepare(&stream, socket::PEERS) {
             return (false, e);
         }
         self.send_event(ConnectionEvent::Connected);
--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -6,14 +6,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use hornbeam_node::frames::length_prefixed;
+use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -25,8 +24,6 @@
 const MAX_PENDING_BYTES: usize = 2 << 20;
 /// Buffer capacity reserved for one read, in bytes.
 const READ_BYTES: usize = 8 << 10;
-/// Time after which unacknowledged bytes break the connection: the peer is unreachable.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One end of a connection between two entries.
 pub struct PeerConnection {
@@ -45,8 +42,7 @@
     ///
     /// Returns an error if a socket option cannot be set.
     pub fn new(stream: TcpStream, key: FrameKey) -> io::Result<Self> {
-        stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        socket::prepare(&stream, socket::PEERS)?;
         Ok(Self {
             stream,
             key,
--- a/crates/hornbeam_node/src/backends.rs
+++ b/crates/hornbeam_node/src/backends.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
+use crate::socket::SERVERS;
 
 /// Maximum size of a reply body, in bytes.
 const MAX_REPLY_BYTES: usize = 16 << 20;
@@ -90,6 +91,9 @@
         .pool_max_idle_per_host(1)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .tcp_nodelay(true)
+        .tcp_user_timeout(SERVERS.user_timeout)
+        .tcp_keepalive(SERVERS.keepalive_idle)
+        .tcp_keepalive_interval(SERVERS.keepalive_interval)
         .redirect(reqwest::redirect::Policy::none())
         .retry(reqwest::retry::never())
         .build()
--- a/crates/hornbeam_node/src/control/net.rs
+++ b/crates/hornbeam_node/src/control/net.rs
@@ -17,13 +17,13 @@
     ReplayVerdict,
 };
 use smol_str::SmolStr;
-use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 
 use crate::frames::{read_frame, write_frame};
 use crate::journal::EventLog;
 use crate::metrics::Metrics;
+use crate::socket;
 
 /// Maximum size of a frame that is sent as a datagram, in bytes. It fits into one packet.
 const MAX_SENT_DATAGRAM_BYTES: usize = 1_400;
@@ -31,8 +31,6 @@
 const MAX_QUEUED_FRAMES: usize = 64;
 /// Maximum number of open incoming streams.
 const MAX_STREAMS: usize = 512;
-/// Time for which sent data may stay unacknowledged before the stream is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
 /// Limit for opening a stream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit for the arrival of a frame after its length.
@@ -209,11 +207,10 @@
 async fn write_stream(address: SocketAddr, mut rx: mpsc::Receiver<Vec<u8>>) {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let Ok(Ok(mut stream)) = connect.await else { return };
-    let _ = stream.set_nodelay(true);
-    // Without this timeout, a stream whose peer vanished without a reset would lose all further
+    // Without a user timeout, a stream whose peer vanished without a reset would lose all further
     // messages.
-    if let Err(e) = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
-        log::warn!("cannot set the TCP user timeout of a stream to {address}: {e}");
+    if let Err(e) = socket::prepare(&stream, socket::CONTROL) {
+        log::warn!("cannot set the socket options of a stream to {address}: {e}");
     }
     while let Some(frame) = rx.recv().await {
         if write_frame(&mut stream, &frame).await.is_err() {
@@ -240,7 +237,10 @@
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
+                if let Err(e) = socket::prepare(&stream, socket::CONTROL) {
+                    log::warn!("cannot set the socket options of a stream from {from}: {e}");
+                }
                 let receiver = receiver.clone();
                 tokio::task::spawn_local(async move {
                     read_stream(stream, &receiver).await;
--- a/crates/hornbeam_node/src/http/app.rs
+++ b/crates/hornbeam_node/src/http/app.rs
@@ -16,6 +16,7 @@
 use crate::control::ControlHandle;
 use crate::journal::EventLog;
 use crate::metrics::Metrics;
+use crate::socket::PEERS;
 use crate::traffic::TrafficHandle;
 
 /// State of one instance that its HTTP handlers share.
@@ -92,6 +93,9 @@
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
             .retry(reqwest::retry::never())
+            .tcp_user_timeout(PEERS.user_timeout)
+            .tcp_keepalive(PEERS.keepalive_idle)
+            .tcp_keepalive_interval(PEERS.keepalive_interval)
             .build()
             .unwrap_or_default();
         Arc::new(Self {
--- a/crates/hornbeam_node/src/lib.rs
+++ b/crates/hornbeam_node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod node;
 pub mod pages;
 pub mod program;
+pub mod socket;
 pub mod structured;
 pub mod traffic;
 
--- a/crates/hornbeam_node/src/node.rs
+++ b/crates/hornbeam_node/src/node.rs
@@ -22,6 +22,7 @@
 use salvo::server::ServerHandle;
 use smol_str::{SmolStr, format_smolstr};
 use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::backends::Backends;
@@ -32,6 +33,7 @@
 use crate::http::app::{App, AppParams};
 use crate::journal::EventLog;
 use crate::metrics::Metrics;
+use crate::socket;
 use crate::traffic::{TrafficHandle, TrafficMessage, TrafficTask, init_attempt_labels};
 
 /// Maximum number of open HTTP connections.
@@ -149,6 +151,10 @@
             source: std::io::Error::other(e),
         })?;
         debug_assert!(!acceptor.holdings().is_empty());
+        // Accepted connections inherit the options of the listener.
+        if let Err(e) = socket::CALLERS.apply(SockRef::from(acceptor.inner())) {
+            log::warn!("cannot set the socket options of callers' connections: {e}");
+        }
         let server = Server::new(acceptor).max_connections(MAX_CONNECTIONS);
         let handle = server.handle();
         let serving = tokio::spawn(server.serve(crate::http::router(&app)));
--- a/crates/hornbeam_node/src/pages.rs
+++ b/crates/hornbeam_node/src/pages.rs
@@ -14,6 +14,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use crate::socket;
+
 /// Maximum idle time of a platform connection, which also bounds reading of request headers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay before accepting again after a failed accept.
@@ -48,6 +50,10 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        // The options cannot be set on a connection that has ended meanwhile.
+        if socket::prepare(&stream, socket::CALLERS).is_err() {
+            continue;
+        }
         let handler = handler.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |req| {
--- a/crates/hornbeam_standin/src/load.rs
+++ b/crates/hornbeam_standin/src/load.rs
@@ -11,6 +11,8 @@
 use reqwest::header::{HeaderMap, HeaderValue};
 use serde::{Deserialize, Serialize};
 
+/// Time after which a connection whose target is silent ends.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Upper bound of the latency histogram, in microseconds; longer latencies count as this.
 const MAX_LATENCY_US: u64 = 600_000_000;
 /// Deadline that routed requests carry.
@@ -119,7 +121,12 @@
 /// Sends the requests of `plan` and waits for every response. Latency is measured from the time at
 /// which a request was due, so delays of the sender count as well (no coordinated omission).
 pub async fn run(plan: &LoadPlan) -> LoadReport {
-    let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .tcp_user_timeout(SILENCE_TIMEOUT)
+        .tcp_keepalive(SILENCE_TIMEOUT / 2)
+        .build()
+        .unwrap_or_default();
     let latency = Histogram::new_with_bounds(1, MAX_LATENCY_US, 3);
     let Ok(latency) = latency else { return LoadReport::default() };
     let sums = Sums { report: LoadReport::default(), latency, asked: 0, covered: 0 };
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -181,7 +181,12 @@
         arrivals: AtomicU32::new(0),
         ended: watch::Sender::new(false),
         slots: Semaphore::new(SLOTS as usize),
-        client: reqwest::Client::builder().no_proxy().build().unwrap_or_default(),
+        client: reqwest::Client::builder()
+            .no_proxy()
+            .tcp_user_timeout(HEARTBEAT_TIMEOUT)
+            .tcp_keepalive(HEARTBEAT_TIMEOUT)
+            .build()
+            .unwrap_or_default(),
     });
     let accept = server.clone().until_end(server.clone().accept(listener));
     let accept = tokio::spawn(accept).abort_handle();
--- a/crates/hornbeam_standin/src/server.rs
+++ b/crates/hornbeam_standin/src/server.rs
@@ -214,7 +214,8 @@
 }
 
 async fn announce_forever(shared: Arc<Shared>) {
-    let client = reqwest::Client::builder().no_proxy().timeout(ANNOUNCE_TIMEOUT).build();
+    let client = reqwest::Client::builder().no_proxy().timeout(ANNOUNCE_TIMEOUT);
+    let client = client.tcp_user_timeout(ANNOUNCE_TIMEOUT).tcp_keepalive(ANNOUNCE_TIMEOUT).build();
     let Ok(client) = client else { return };
     let mut registrars = shared.params.registrars.clone();
     let mut every = DEFAULT_ANNOUNCE_INTERVAL;
--- a/crates/hornbeamctl/src/client.rs
+++ b/crates/hornbeamctl/src/client.rs
@@ -85,7 +85,8 @@
                 Some(text.trim().to_owned())
             }
         };
-        let http = reqwest::Client::builder().no_proxy().timeout(REQUEST_TIMEOUT).build();
+        let http = reqwest::Client::builder().no_proxy().timeout(REQUEST_TIMEOUT);
+        let http = http.tcp_user_timeout(REQUEST_TIMEOUT).tcp_keepalive(None).build();
         let http = http
             .map_err(|e| CommandError::Usage(format!("the HTTP client cannot be created: {e}")))?;
         Ok(Self { instances, token, http })
--- a/crates/hornbeamrun/src/demo.rs
+++ b/crates/hornbeamrun/src/demo.rs
@@ -196,7 +196,11 @@
             servers.push(stand_in(&instances, i).await?);
         }
         let addresses = instances.iter().map(|p| p.http).collect();
-        let client = reqwest::Client::builder().no_proxy().build().map_err(error_text)?;
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .tcp_user_timeout(READY_TIMEOUT)
+            .tcp_keepalive(READY_TIMEOUT);
+        let client = client.build().map_err(error_text)?;
         let cluster = Self { nodes, addresses, servers, client, folder };
         cluster.configure().await?;
         Ok(cluster)
