A refused connection ends a server only with a witness

A check now also connects to the server that responded last; if that refuses as well, or this entry is detached, nothing is recorded.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -97,15 +97,27 @@
     }
 
     /// Returns true if nothing listens at the address of a server any more, some time after a
-    /// connection to it was lost.
-    pub async fn has_ended(&self, server: &ServerId, address: SocketAddr) -> bool {
+    /// connection to it was lost. If `witness`, another server, accepts no connections either, the
+    /// links of this entry may be at fault.
+    pub async fn has_ended(
+        &self,
+        server: &ServerId,
+        address: SocketAddr,
+        witness: Option<(ServerId, SocketAddr)>,
+    ) -> bool {
         tokio::time::sleep(END_CHECK_DELAY).await;
         if self.has_open_connection(server) {
             return false;
         }
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         // An unreachable server may be running.
-        matches!(connect.await, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+        if !matches!(connect.await, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused) {
+            return false;
+        }
+        match witness {
+            Some((witness, address)) => self.probe(&witness, address).await,
+            None => true,
+        }
     }
 
     /// Opens a connection to a server and keeps it for a request; returns true if it was opened.
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -1,9 +1,11 @@
 //! Requests that end the servers that run them.
 //!
 //! A lost connection makes the request in flight a suspect only once a check has shown that the
-//! server has ended. A quarantined request reaches no server: not as a first attempt, from the queue,
+//! server has ended: it refuses connections, and another server accepts one. A quarantined request reaches no server: not as a first attempt, from the queue,
 //! as a hedge, retry or probe, and not in a group of another entry.
 
+use std::net::SocketAddr;
+
 use hornbeam_model::{
     CrashReport, CrashedRun, Fingerprint, Incarnation, Mono, QueryId, RunSpan, ServerId,
 };
@@ -91,10 +93,21 @@
         let run = CrashedRun { fingerprint, server: id.clone(), incarnation, span, cleared: false };
         self.crash_history.record(now, run);
         if self.pending_checks.insert(id.clone(), incarnation) != Some(incarnation) {
-            out.push(Output::CheckServer { server: id, incarnation, address });
+            let witness = self.witness(in_flight.server);
+            out.push(Output::CheckServer { server: id, incarnation, address, witness });
         }
     }
 
+    /// Returns another server that should accept connections: the one that responded last, if possible
+    /// of another service than the server at this position. If it accepts none either, the links of
+    /// this entry are at fault.
+    fn witness(&self, checked: usize) -> Option<(ServerId, SocketAddr)> {
+        let service = self.servers[checked].service;
+        let others = self.servers.iter().enumerate().filter(|(i, s)| *i != checked && s.usable);
+        let latest = others.max_by_key(|(i, s)| (s.answered_at(), s.service != service, *i));
+        latest.map(|(_, s)| (s.id.clone(), s.address))
+    }
+
     pub(super) fn on_server_checked(
         &mut self,
         now: Mono,
@@ -105,7 +118,7 @@
         if self.pending_checks.get(server) == Some(&incarnation) {
             self.pending_checks.swap_remove(server);
         }
-        if !has_ended {
+        if !has_ended || self.is_detached() {
             return self.crash_history.discard_unconfirmed(server, incarnation);
         }
         if let Some(idx) = self.server_names.get(server).copied()
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -132,7 +132,8 @@
         server: ServerId,
         /// Start of the server that was checked.
         incarnation: Incarnation,
-        /// True if nothing listens at its address any more.
+        /// True if nothing listens at its address any more, while another server accepts
+        /// connections.
         has_ended: bool,
     },
     /// The other entries of this entry's zone, as a complete list.
@@ -323,6 +324,8 @@
         incarnation: Incarnation,
         /// Address on which it accepted requests.
         address: SocketAddr,
+        /// Another server; if it refuses connections as well, the check shows nothing.
+        witness: Option<(ServerId, SocketAddr)>,
     },
     /// Delegate a shard group to another entry.
     Delegate(Delegation),
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -157,6 +157,11 @@
         self.consecutive_failures = 0;
     }
 
+    /// Returns the time of the last successful response.
+    pub fn answered_at(&self) -> Mono {
+        self.answered_at
+    }
+
     /// Returns the end of the ejection, from which on the server may be probed.
     pub fn ejected_until(&self) -> Option<Mono> {
         self.ejected_until
--- a/crates/hornbeam_route/tests/common/links.rs
+++ b/crates/hornbeam_route/tests/common/links.rs
@@ -1,9 +1,9 @@
 //! Links between entries and servers that are cut while all other links work.
 
-use hornbeam_model::{QueryId, ServerId};
+use hornbeam_model::{Incarnation, QueryId, ServerId};
 use hornbeam_route::{AttemptOutcome, GroupEvent};
 
-use super::{EntryFault, PeerMessage, World};
+use super::{EntryFault, Fault, PeerMessage, World};
 
 /// How the link between an entry and a server fails.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,6 +60,24 @@
         (in_time.count() as f64 / ended.len().max(1) as f64, ended.len())
     }
 
+    /// Returns true if an entry finds that a server accepts no connections any more.
+    pub(super) fn seems_ended(
+        &self,
+        entry: usize,
+        server: &ServerId,
+        incarnation: Incarnation,
+    ) -> bool {
+        let server = self.by_name[server];
+        let is_refused = self.links.get(&(entry, server)) == Some(&LinkFault::Reset);
+        is_refused || self.servers[server].incarnation > incarnation.0
+    }
+
+    /// Returns true if an entry finds that a server accepts connections.
+    pub(super) fn accepts(&self, entry: usize, server: &ServerId) -> bool {
+        let server = self.by_name[server];
+        self.servers[server].fault != Fault::Refused && !self.links.contains_key(&(entry, server))
+    }
+
     /// Returns true if an entry gathers groups for others.
     pub(super) fn gathers(&self, entry: usize) -> bool {
         self.entry_faults[entry] != EntryFault::Leaving && !self.engines[entry].is_detached()
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -781,9 +781,7 @@
             }
             Output::AnnounceAvailability => self.announce_availability(entry),
             Output::ProbeServer { server, .. } => {
-                let server = self.by_name[&server];
-                let refuses = self.servers[server].fault == Fault::Refused;
-                if !refuses && !self.links.contains_key(&(entry, server)) {
+                if self.accepts(entry, &server) {
                     self.schedule(self.now + 2 * ONE_WAY_LATENCY, Event::ServerProbed(entry));
                 }
             }
@@ -803,8 +801,9 @@
                     }
                 }
             }
-            Output::CheckServer { server, incarnation, .. } => {
-                let has_ended = self.servers[self.by_name[&server]].incarnation > incarnation.0;
+            Output::CheckServer { server, incarnation, witness, .. } => {
+                let witnessed = witness.is_none_or(|(w, _)| self.accepts(entry, &w));
+                let has_ended = witnessed && self.seems_ended(entry, &server, incarnation);
                 self.step(entry, Input::ServerChecked { server, incarnation, has_ended });
             }
             Output::CloseIdle(_) | Output::Discard(_) => {}
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -196,3 +196,26 @@
     }
     assert!(world.engines[0].is_detached());
 }
+
+#[test]
+fn reset_links_end_no_server() {
+    // A connection that is reset and a new one that is refused look like the end of a server; three
+    // such ends would quarantine the request that was in flight, at all entries.
+    let mut world = small(10);
+    run(&mut world, 20.0, 3 * SECOND);
+    world.content = Some(7);
+    for _ in 0..6 {
+        for entry in 0..3 {
+            for _ in 0..3 {
+                world.request_at(2, entry);
+            }
+        }
+        world.run(10 * MS);
+        (0..3).for_each(|entry| world.detach_entry(entry, LinkFault::Reset));
+        world.run(200 * MS);
+        (0..3).for_each(|entry| world.restore_links(entry));
+        world.run(SECOND);
+    }
+    let ended = world.decisions.iter().filter(|(_, d)| matches!(d, Decision::ServerEnded { .. }));
+    assert_eq!(ended.count(), 0);
+}
