--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -43,9 +43,14 @@
 
 /// An entry whose route leads to a server at each of the addresses.
 pub fn core_of(addresses: &[SocketAddr], idempotent: bool) -> Rc<Core> {
+    named_core("e0", addresses, idempotent)
+}
+
+/// An entry with this name whose route leads to a server at each of the addresses.
+pub fn named_core(name: &str, addresses: &[SocketAddr], idempotent: bool) -> Rc<Core> {
     let service: ServiceId = "tablet".parse().unwrap();
     let engine = Engine::new(EngineParams {
-        name: "e0".parse().unwrap(),
+        name: name.parse().unwrap(),
         zone: "olomouc".parse().unwrap(),
         budget: RetryBudgetParams {
             percent: 2_000,
@@ -58,13 +63,13 @@
         seed: 1,
     });
     let key = FrameKey::new(b"a key of at least sixteen bytes");
-    let group_exchange = GroupExchange::new("e0".parse().unwrap(), key);
+    let group_exchange = GroupExchange::new(name.parse().unwrap(), key);
     let core = Core::new(
         engine,
         Clock::start(),
         Dialect::default(),
         Metrics::default(),
-        StructuredLog::start("e0", LogRates::default()),
+        StructuredLog::start(name, LogRates::default()),
         group_exchange,
     );
     core.step(Input::EntryCount(1));
--- a/crates/hornbeam_route/tests/common/links.rs
+++ b/crates/hornbeam_route/tests/common/links.rs
@@ -1,7 +1,7 @@
 //! Links between entries and servers that are cut while all other links work.
 
 use hornbeam_model::{Incarnation, QueryId, ServerId};
-use hornbeam_route::{AttemptOutcome, GroupEvent};
+use hornbeam_route::{AttemptOutcome, Completion, GroupEvent};
 
 use super::{EntryFault, Fault, PeerMessage, World};
 
@@ -60,6 +60,21 @@
         (in_time.count() as f64 / ended.len().max(1) as f64, ended.len())
     }
 
+    /// Returns the number of servers that accepted a request.
+    pub fn servers_that_ran(&self, key: QueryId) -> usize {
+        let reached = self.servers_reached.iter().filter(|((k, _), _)| *k == key);
+        reached.map(|(_, servers)| servers.len()).sum()
+    }
+
+    /// Returns the requests whose callers were told that they had not run, though a server had
+    /// accepted them.
+    pub fn refused_and_run(&self) -> Vec<QueryId> {
+        let has_not_run =
+            |c: &Completion| matches!(c, Completion::Refuse(r) if r.kind.has_not_run());
+        let refused = self.ended.iter().filter(|e| has_not_run(&e.completion));
+        refused.map(|e| e.key).filter(|key| self.servers_that_ran(*key) > 0).collect()
+    }
+
     /// Returns true if an entry finds that a server accepts no connections any more.
     pub(super) fn seems_ended(
         &self,
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -107,6 +107,7 @@
 /// A request that has ended.
 #[derive(Clone, Debug)]
 pub struct EndedRequest {
+    pub key: QueryId,
     pub route: usize,
     /// Entry that the request arrived at.
     pub entry: usize,
@@ -828,6 +829,7 @@
                     Completion::Refuse(_) => 0,
                 };
                 self.ended.push(EndedRequest {
+                    key: request,
                     route,
                     entry,
                     latency: self.now.since(at),
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use common::{CONSORTIUM, Fault, LinkFault, Site, World, scatter, single};
-use hornbeam_route::Decision;
+use hornbeam_model::Route;
+use hornbeam_route::{Completion, Decision};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -219,3 +220,84 @@
     let ended = world.decisions.iter().filter(|(_, d)| matches!(d, Decision::ServerEnded { .. }));
     assert_eq!(ended.count(), 0);
 }
+
+#[test]
+fn all_but_few() {
+    // Two of ten entries carry everything: what they cannot serve in time is refused at once.
+    let most = |entry: usize| entry < 8;
+    let mut world = small(11);
+    detach(&mut world, 30.0, LinkFault::Silent, most);
+    run(&mut world, 30.0, 5 * SECOND);
+    let (at_detached, n) = world.served_at(most);
+    let (at_others, _) = world.served_at(|e| !most(e));
+    assert!(n > 100 && at_others >= 0.85, "{at_others} at the others");
+    assert!(at_detached >= 0.8 * at_others, "{at_detached} of {n}, {at_others} at the others");
+}
+
+#[test]
+fn all_entries() {
+    // Nobody reaches a server: each request is refused at once, and none goes in circles.
+    let mut world = small(12);
+    detach(&mut world, 20.0, LinkFault::Silent, |_| true);
+    world.decisions.clear();
+    run(&mut world, 20.0, 2 * SECOND);
+    world.run(SECOND);
+    let at_once = world.ended.iter().filter(|e| e.latency < 20 * MS).count();
+    let n = world.ended.len();
+    assert!(n > 100 && at_once * 10 >= n * 9, "{at_once} of {n}");
+    let relayed = world.decisions.iter().filter(|(_, d)| matches!(d, Decision::Relayed { .. }));
+    assert!(relayed.count() * 10 <= n, "groups go on between entries that all decline them");
+}
+
+#[test]
+fn direct_again() {
+    let mut world = small(13);
+    detach(&mut world, 20.0, LinkFault::Silent, most);
+    run(&mut world, 20.0, 2 * SECOND);
+    (0..10).for_each(|entry| world.restore_links(entry));
+    run(&mut world, 20.0, SECOND);
+    world.decisions.clear();
+    world.ended.clear();
+    run(&mut world, 20.0, 3 * SECOND);
+    let relayed = world.decisions.iter().filter(|(_, d)| matches!(d, Decision::Relayed { .. }));
+    assert_eq!(relayed.count(), 0);
+    assert!(world.served_at(most).0 >= 0.9, "{:?}", world.served_at(most));
+}
+
+#[test]
+fn flapping_links() {
+    let mut world = small(14);
+    run(&mut world, 20.0, 3 * SECOND);
+    world.ended.clear();
+    for _ in 0..6 {
+        (0..10).filter(|e| most(*e)).for_each(|e| world.detach_entry(e, LinkFault::Reset));
+        run(&mut world, 20.0, 700 * MS);
+        (0..10).for_each(|entry| world.restore_links(entry));
+        run(&mut world, 20.0, 700 * MS);
+    }
+    let (at_others, _) = world.served_at(|e| !most(e));
+    assert!(at_others >= 0.9, "{at_others} at the others");
+    assert!(world.served_at(most).0 >= 0.7, "{:?}", world.served_at(most));
+}
+
+#[test]
+fn lost_hop() {
+    // Each request runs once at most, whatever happens on the way between the entries.
+    let lookup = Route { idempotent: false, ..single("lookup", "tablet", 800) };
+    let mut world = World::new(15, 10, vec![lookup], vec![10 * MS], 2);
+    world.connect_peers();
+    detach(&mut world, 60.0, LinkFault::Silent, most);
+    for n in 0..200 {
+        let key = world.request_at(0, n % 3);
+        world.run(5 * MS);
+        if n % 2 == 0 {
+            world.drop_group_connections(n % 3);
+        }
+        world.run(20 * MS);
+        assert!(world.servers_that_ran(key) <= 1, "request {key} ran twice");
+    }
+    world.run(10 * SECOND);
+    assert_eq!(world.refused_and_run(), Vec::new(), "said not to have run, though it had");
+    let failed = world.ended.iter().filter(|e| matches!(e.completion, Completion::Refuse(_)));
+    assert!(failed.count() > 20, "no connection was dropped while a request ran");
+}
--- a/crates/hornbeamctl/src/explain.rs
+++ b/crates/hornbeamctl/src/explain.rs
@@ -14,7 +14,14 @@
 const BELIEF_KINDS: [&str; 6] =
     ["cut_off", "feed_lost", "feed_open", "suspended", "settings_reloaded", "controller_heard"];
 /// Kinds of `decision` lines that change an entry's state; shown like [`BELIEF_KINDS`].
-const STATE_DECISIONS: [&str; 4] = ["table_in_force", "ejected", "server_changed", "server_paused"];
+const STATE_DECISIONS: [&str; 6] = [
+    "table_in_force",
+    "ejected",
+    "server_changed",
+    "server_paused",
+    "servers_lost",
+    "servers_reached",
+];
 
 /// The outcome of a request and its cause.
 #[derive(Debug, Default)]
@@ -88,7 +95,8 @@
     format!("; the entry had lost {lost} of {known} controllers: check its network")
 }
 
-/// Describes the shard groups that another entry did not gather, or gathered without all shards.
+/// Describes the shard groups that were relayed, that another entry did not gather, or that it gathered
+/// without all shards.
 fn describe_groups(lines: &[LogLine]) -> String {
     let mut message = String::new();
     for l in lines {
@@ -101,6 +109,19 @@
                 u64_field(l, "after_ms"),
                 u64_field(l, "sent_from_here")
             )),
+            "relayed" => message.push_str(&format!(
+                "; {} reached no server of {} shards and relayed them to {}",
+                l.instance,
+                u64_field(l, "shards"),
+                str_field(l, "peer")
+            )),
+            "group_refused" => message.push_str(&format!(
+                "; {} refused {} shards ({}) after {} ms",
+                str_field(l, "peer"),
+                u64_field(l, "shards"),
+                str_field(l, "reason"),
+                u64_field(l, "after_ms")
+            )),
             "gathered" if u64_field(l, "missing") > 0 => message.push_str(&format!(
                 "; {} gathered a group without {} shards: {} waited for capacity, {} were \
                  outstanding",
--- a/crates/hornbeamctl/tests/explanations.rs
+++ b/crates/hornbeamctl/tests/explanations.rs
@@ -160,3 +160,26 @@
     let write = cause("8a7807fbfba0c874");
     assert!(write.contains("may have run") && write.contains("not retried"), "{write}");
 }
+
+/// A lookup at an entry without servers, which one entry refuses and another one serves.
+const RELAYED: &str = r#"
+{"unix_ms":900,"instance":"entry-1","decision":"servers_lost","silent":4,"usable":40}
+{"unix_ms":1000,"instance":"entry-1","decision":"relayed","request":"eee","peer":"entry-2","shards":1,"before":0}
+{"unix_ms":1002,"instance":"entry-1","decision":"group_refused","request":"eee","peer":"entry-2","reason":"overloaded","after_ms":2,"shards":1}
+{"unix_ms":1002,"instance":"entry-1","decision":"relayed","request":"eee","peer":"entry-3","shards":1,"before":1}
+{"unix_ms":1050,"instance":"entry-1","decision":"answered","request":"eee","route":"lookup","took_ms":50,"parts":1,"missing":0,"waiting":0,"late":0,"sends":1}
+"#;
+
+#[test]
+fn relayed_request() {
+    let explanation = explain("eee", parse(RELAYED));
+    for text in [
+        "answered completely after 50 ms",
+        "entry-1 reached no server of 1 shards and relayed them to entry-2",
+        "entry-2 refused 1 shards (overloaded) after 2 ms",
+        "relayed them to entry-3",
+    ] {
+        assert!(explanation.cause.contains(text), "{text}: {}", explanation.cause);
+    }
+    assert_eq!(explanation.beliefs.len(), 1, "when the entry lost its servers");
+}
