Soak: entries cut from all servers while their other links live

A proxy in front of each server finds the entry by the process that owns the connection, and silences, resets or refuses its links, in series and overlapping with restarts. A server that accepts a connection and resets it at once, like a load balancer without backends, no longer counts as reachable: probes wait 10 ms.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -30,6 +30,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(50);
 /// Longest time to open a connection that only shows whether a server is reachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which such a connection has to stay open.
+const PROBE_SETTLING_TIME: Duration = Duration::from_millis(10);
 /// Time for which such a connection can be used for a request.
 const PROBED_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time before the end of a stated keep-alive timeout from which an idle connection is no longer
@@ -120,15 +122,20 @@
         }
     }
 
-    /// Opens a connection to a server and keeps it for a request; returns true if it was opened.
+    /// Opens a connection to a server and keeps it for a request; returns true if it stays open. A
+    /// load balancer without a server may accept a connection and reset it.
     pub async fn probe(&self, server: &ServerId, address: SocketAddr) -> bool {
         let Ok(Some(stream)) = tokio::time::timeout(PROBE_TIMEOUT, connect(address)).await else {
             return false;
         };
+        tokio::time::sleep(PROBE_SETTLING_TIME).await;
         let expires_at = Instant::now() + PROBED_IDLE_TIMEOUT;
-        let last_request = SmolStr::default();
-        self.put(server, IdleConnection { stream, expires_at, last_request }, 1);
-        true
+        let probed = IdleConnection { stream, expires_at, last_request: SmolStr::default() };
+        let is_open = probed.is_quiet();
+        if is_open {
+            self.put(server, probed, 1);
+        }
+        is_open
     }
 
     fn has_open_connection(&self, server: &ServerId) -> bool {
--- a/crates/hornbeam_entry/tests/refused_connections.rs
+++ b/crates/hornbeam_entry/tests/refused_connections.rs
@@ -6,6 +6,7 @@
 
 use common::run_local;
 use hornbeam_entry::backends::Backends;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 #[test]
@@ -22,3 +23,22 @@
         assert!(!backends.has_ended(&ended, open, None).await);
     });
 }
+
+#[test]
+fn probe_needs_open_connection() {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = "s0".parse().unwrap();
+        let backends = Backends::default();
+        // The system accepts the connection, and nothing resets it.
+        assert!(backends.probe(&server, address).await);
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
+        });
+        tokio::task::yield_now().await;
+        assert!(!backends.probe(&server, address).await, "a connection that is reset at once");
+    });
+}
--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -9,6 +9,7 @@
 use tokio::process::{Child, Command};
 
 use crate::caller::http;
+use crate::entry_links::EntryLinks;
 use crate::proxy::{Links, forward_datagrams, forward_streams};
 
 /// Zones of the fleet. Controllers and servers are spread over them; all entries are in the first.
@@ -50,6 +51,8 @@
     pub bind: IpAddr,
     /// State of the proxied links to the program.
     pub links: Links,
+    /// State of the proxied links from the program to all servers.
+    pub server_links: Links,
     /// Path of the settings file.
     pub settings: PathBuf,
     data: PathBuf,
@@ -64,6 +67,8 @@
     pub programs: Vec<Program>,
     binary: PathBuf,
     seeds: Vec<SocketAddr>,
+    /// Links between entries and servers.
+    pub entry_links: EntryLinks,
 }
 
 impl Fleet {
@@ -82,7 +87,9 @@
     ) -> std::io::Result<Self> {
         let ip = |n: usize| IpAddr::V4(Ipv4Addr::new(127, 0, net, n as u8));
         let seeds = (0..controllers.min(3)).map(|i| SocketAddr::new(ip(1 + i), API_PORT)).collect();
-        let mut fleet = Self { programs: Vec::new(), binary: binary.to_owned(), seeds };
+        let entry_links = EntryLinks::default();
+        let mut fleet =
+            Self { programs: Vec::new(), binary: binary.to_owned(), seeds, entry_links };
         for i in 0..controllers {
             let name = format!("control-{i}");
             fleet.add(folder, ProgramKind::Controller, name, ip(1 + i), ip(101 + i));
@@ -124,6 +131,7 @@
             address,
             bind,
             links: Links::default(),
+            server_links: Links::default(),
             settings: folder.join(format!("{name}.yaml")),
             data: folder.join(format!("{name}.data")),
             log: folder.join(format!("{name}.log")),
@@ -151,6 +159,9 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
+        if let Some(pid) = child.id() {
+            self.entry_links.add(pid, program.server_links.clone());
+        }
         program.child = Some(child);
         Ok(())
     }
--- a/crates/hornbeam_soak/src/lib.rs
+++ b/crates/hornbeam_soak/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The checks are black-box: they use only what callers, servers and operators observe.
 //!
+//! - [`entry_links`]: links between entries and servers, cut apart from all others
 //! - [`fleet`]: settings, processes and signals of entries and controllers
 //! - [`proxy`]: proxies between programs that delay, reset, cut or block links
 //! - [`caller`]: callers and operators
@@ -11,6 +12,7 @@
 //! - [`run`]: a complete run of one seed
 
 pub mod caller;
+pub mod entry_links;
 pub mod fleet;
 pub mod ledger;
 pub mod plan;
--- a/crates/hornbeam_soak/src/plan.rs
+++ b/crates/hornbeam_soak/src/plan.rs
@@ -58,6 +58,17 @@
         /// Duration of the fault.
         time: Duration,
     },
+    /// Sets the state of the links from an entry to all servers for a time; its other links work.
+    ServerLinks {
+        /// Index of the program or server among those of its kind.
+        which: usize,
+        /// State of the links.
+        state: LinkState,
+        /// Whether open connections are reset at the start.
+        reset: bool,
+        /// Duration of the fault.
+        time: Duration,
+    },
     /// Closes every connection to a controller.
     Reset(usize),
     /// Closes every connection of other entries to an entry.
@@ -93,6 +104,7 @@
             Self::Freeze { time, .. }
             | Self::Links { time, .. }
             | Self::EntryLinks { time, .. }
+            | Self::ServerLinks { time, .. }
             | Self::Server { time, .. } => *time,
             _ => Duration::from_secs(1),
         }
@@ -140,7 +152,7 @@
     let entry = rng.random_range(0..sizes.entries);
     let which = rng.random_range(0..sizes.controllers);
     let server = rng.random_range(0..sizes.servers);
-    match rng.random_range(0..17) {
+    match rng.random_range(0..20) {
         0 => Fault::KillEntry(entry),
         1 => Fault::StopEntry(entry),
         2 => Fault::Freeze { controller: false, which: entry, time },
@@ -151,6 +163,14 @@
         8 => Fault::Reset(which),
         14 | 15 => Fault::EntryLinks { which: entry, state: draw_link_state(rng), time },
         16 => Fault::ResetEntry(entry),
+        17..20 => {
+            let reset = rng.random_bool(0.3);
+            let state = match rng.random_bool(0.5) {
+                true => LinkState::Blocked,
+                false => LinkState::RefusesNew,
+            };
+            Fault::ServerLinks { which: entry, state, reset, time }
+        }
         9 | 10 => {
             let fault = *ROUTED_FAULTS.choose(rng).unwrap_or(&RoutedFault::Unresponsive);
             Fault::Server { which: server, fault, time }
--- a/crates/hornbeam_soak/src/proxy.rs
+++ b/crates/hornbeam_soak/src/proxy.rs
@@ -28,14 +28,17 @@
     CutOutbound,
     /// Blocks all traffic and new connections.
     Blocked,
+    /// Forwards all traffic of open connections; see [`crate::entry_links`].
+    RefusesNew,
 }
 
-const LINK_STATES: [LinkState; 5] = [
+const LINK_STATES: [LinkState; 6] = [
     LinkState::Open,
     LinkState::Slow,
     LinkState::CutInbound,
     LinkState::CutOutbound,
     LinkState::Blocked,
+    LinkState::RefusesNew,
 ];
 /// Delay of each read on a slow link, in each direction; datagrams are delayed by a tenth of it.
 const SLOW_LINK_DELAY: Duration = Duration::from_millis(60);
@@ -68,7 +71,7 @@
     async fn wait_until_forwarding(&self, inbound: bool) {
         loop {
             match (self.state(), inbound) {
-                (LinkState::Open, _)
+                (LinkState::Open | LinkState::RefusesNew, _)
                 | (LinkState::CutInbound, false)
                 | (LinkState::CutOutbound, true) => return,
                 (LinkState::Slow, _) => return tokio::time::sleep(SLOW_LINK_DELAY).await,
@@ -92,30 +95,32 @@
     tokio::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else { return };
-            let links = links.clone();
-            tokio::spawn(async move {
-                links.wait_until_forwarding(true).await;
-                let Ok(other) = TcpStream::connect(to).await else { return reset(&stream) };
-                let began = links.resets.load(Ordering::Relaxed);
-                let watch = links.clone();
-                let (a, b) = (stream.into_split(), other.into_split());
-                tokio::select! {
-                    () = forward(a.0, b.1, links.clone(), true) => {}
-                    () = forward(b.0, a.1, links.clone(), false) => {}
-                    () = async {
-                        while watch.resets.load(Ordering::Relaxed) == began {
-                            tokio::time::sleep(POLL_INTERVAL).await;
-                        }
-                    } => {}
-                }
-            });
+            tokio::spawn(forward_stream(stream, to, links.clone()));
         }
     });
     Ok(())
 }
 
+/// Forwards one connection to `to` until either end closes it or the links are reset.
+pub async fn forward_stream(stream: TcpStream, to: SocketAddr, links: Links) {
+    links.wait_until_forwarding(true).await;
+    let Ok(other) = TcpStream::connect(to).await else { return reset(&stream) };
+    let began = links.resets.load(Ordering::Relaxed);
+    let watch = links.clone();
+    let (a, b) = (stream.into_split(), other.into_split());
+    tokio::select! {
+        () = forward(a.0, b.1, links.clone(), true) => {}
+        () = forward(b.0, a.1, links.clone(), false) => {}
+        () = async {
+            while watch.resets.load(Ordering::Relaxed) == began {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        } => {}
+    }
+}
+
 /// Makes the connection end with a TCP reset instead of an orderly close.
-fn reset(stream: &TcpStream) {
+pub fn reset(stream: &TcpStream) {
     // If the option cannot be set, the connection closes in order, which is a milder fault.
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
@@ -151,7 +156,7 @@
         loop {
             let Ok((n, _)) = socket.recv_from(&mut buf).await else { return };
             match links.state() {
-                LinkState::Open | LinkState::CutOutbound => {}
+                LinkState::Open | LinkState::CutOutbound | LinkState::RefusesNew => {}
                 LinkState::Slow => tokio::time::sleep(SLOW_LINK_DELAY / 10).await,
                 // A blocked link loses datagrams.
                 LinkState::CutInbound | LinkState::Blocked => continue,
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -8,6 +8,7 @@
 
 use hornbeam_model::{Route, RoutedService, Routing, Scatter, ServiceId, TableVersion, Target};
 use rustix::process::Signal;
+use tokio::net::TcpListener;
 use tokio::sync::Mutex;
 
 use crate::caller::{Caller, HOST, LIMIT, http, put_table};
@@ -172,11 +173,16 @@
         let valid = "a valid name";
         let ledger = self.ledger.clone();
         let is_shard = service.starts_with("shard");
+        let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let proxy = TcpListener::bind(listen).await;
+        let proxy = proxy.map_err(|e| format!("cannot bind a proxy: {e}"))?;
+        let advertise = proxy.local_addr().ok();
         let params = RoutedParams {
             name: format!("{service}-{n}").parse().expect(valid),
             service: service.parse().expect(valid),
             zone: ZONES[n % ZONES.len()].parse().expect(valid),
-            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            listen,
+            advertise,
             work: SERVICE_TIME,
             controllers: self.apis.clone(),
             on_event: Arc::new(move |event| match event {
@@ -198,7 +204,10 @@
             }),
         };
         let started = routed::start(params).await;
-        self.servers.push(started.map_err(|e| format!("cannot start a server: {e}"))?);
+        let running = started.map_err(|e| format!("cannot start a server: {e}"))?;
+        let (links, server) = (self.fleet.entry_links.clone(), running.server.listen_address);
+        tokio::spawn(async move { links.proxy(proxy, server).await });
+        self.servers.push(running);
         Ok(())
     }
 
@@ -359,6 +368,17 @@
         Fault::EntryLinks { which, state, time } => {
             return Some(set_links_for(shared, &run, entries[which], state, time));
         }
+        Fault::ServerLinks { which, state, reset, time } => {
+            let links = run.fleet.programs[entries[which]].server_links.clone();
+            links.set(state);
+            if reset {
+                links.reset();
+            }
+            return Some(run_after(shared, time, move |run| {
+                links.set(LinkState::Open);
+                run.ledger.record_fault();
+            }));
+        }
         Fault::Reset(which) => run.fleet.programs[controllers[which]].links.reset(),
         Fault::ResetEntry(which) => run.fleet.programs[entries[which]].links.reset(),
         Fault::Server { which, fault, time } => {
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -67,6 +67,8 @@
     pub zone: Zone,
     /// Address that the server listens on; port 0 chooses a free port.
     pub listen: SocketAddr,
+    /// Address that it announces, if not the one on which it listens.
+    pub advertise: Option<SocketAddr>,
     /// Time that the server takes to run a request.
     pub work: Duration,
     /// Controllers that the server sends heartbeats to.
@@ -135,6 +137,8 @@
     /// Parameters that the server was started with.
     pub params: RoutedParams,
     address: SocketAddr,
+    /// Address on which it listens.
+    pub listen_address: SocketAddr,
     fault: AtomicU32,
     draining: AtomicBool,
     incarnation: u64,
@@ -172,7 +176,8 @@
     let listener = TcpListener::bind(params.listen).await?;
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let server = Arc::new(Server {
-        address: listener.local_addr()?,
+        address: params.advertise.map_or_else(|| listener.local_addr(), Ok)?,
+        listen_address: listener.local_addr()?,
         params,
         fault: AtomicU32::new(0),
         draining: AtomicBool::new(false),
--- a/crates/hornbeamrun/src/demo_routed.rs
+++ b/crates/hornbeamrun/src/demo_routed.rs
@@ -127,6 +127,7 @@
             service,
             zone: "olomouc".parse().map_err(error_text)?,
             listen: SocketAddr::new(CONTROLLER_IP, 0),
+            advertise: None,
             work: SERVICE_TIME,
             controllers: controllers.clone(),
             on_event: Arc::new(|_| {}),
--- a/crates/hornbeamrun/src/standins.rs
+++ b/crates/hornbeamrun/src/standins.rs
@@ -99,6 +99,7 @@
             service: service.parse().map_err(|e| format!("{e}"))?,
             zone: args.zone.parse().map_err(|e| format!("{e}"))?,
             listen: SocketAddr::new(args.listen.ip(), args.listen.port() + i),
+            advertise: None,
             work: Duration::from_micros(args.service_us),
             controllers: controllers.clone(),
             on_event: Arc::new(|_| {}),
