--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -11,7 +11,7 @@
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedUp, HealthReport};
 use tokio::io::AsyncRead;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 /// Time without a frame, or for writing one, after which a feed is closed; three heartbeats.
@@ -58,7 +58,7 @@
     key: FrameKey,
     tx: mpsc::UnboundedSender<FeedEvent>,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = socket::listen(address, socket::PEERS).await?;
     tokio::task::spawn_local(async move {
         let mut next: FeedId = 1;
         loop {
@@ -81,7 +81,7 @@
     tx: &mpsc::UnboundedSender<FeedEvent>,
     id: FeedId,
 ) {
-    if socket::prepare(&stream, socket::PEERS).is_err() {
+    if stream.set_nodelay(true).is_err() {
         return;
     }
     let (mut read, mut write) = stream.into_split();
--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -9,12 +9,12 @@
 use hornbeam_node::control::net::{Incoming, Net, NetParams};
 use hornbeam_node::journal::EventLog;
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
+use hornbeam_node::socket;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_settings::FleetSettings;
 use serde_json::json;
 use snafu::ResultExt;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 
@@ -47,7 +47,7 @@
     let mut hup = signal(SignalKind::hangup()).context(StartSnafu { what: "SIGHUP" })?;
     let me = settings.inner_name().ok_or(ProgramError::Missing { field: "address" })?;
     let api_address = settings.api.ok_or(ProgramError::Missing { field: "api" })?;
-    let listener = TcpListener::bind(api_address).await;
+    let listener = socket::listen(api_address, socket::CALLERS).await;
     let listener = listener.context(BindSnafu { field: "api", address: api_address })?;
     let metrics = Metrics::default();
     let exported = metrics.clone();
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -9,7 +9,6 @@
 use hornbeam_model::Fingerprint;
 use hornbeam_model::QueryId;
 use hornbeam_node::program::next_connection;
-use hornbeam_node::socket;
 use hornbeam_route::{Refusal, RefusalKind};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -74,8 +73,8 @@
 }
 
 async fn serve(core: Rc<Core>, stream: TcpStream, mut stage: watch::Receiver<Stage>) {
-    // The options cannot be set on a connection that has ended meanwhile.
-    if socket::prepare(&stream, socket::CALLERS).is_err() {
+    // With Nagle's algorithm a short response may wait for the acknowledgment of the previous one.
+    if stream.set_nodelay(true).is_err() {
         return;
     }
     let limits = core.with_engine(|e| e.table().map(|t| t.limits.clone())).unwrap_or_default();
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -13,6 +13,7 @@
 
 use hornbeam_model::{AttemptId, InstanceId, QueryId};
 use hornbeam_node::program::next_connection;
+use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::gather::{
     ForwardedResponse, GatherDown, GatherRequest, GatherUp, GatheredResponses, GroupRefusal,
@@ -270,7 +271,9 @@
     let exchange = &core.group_exchange;
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let connection = match connect.await {
-        Ok(Ok(stream)) => PeerConnection::new(stream, exchange.key.clone()).ok(),
+        Ok(Ok(stream)) => socket::prepare(&stream, socket::PEERS)
+            .and_then(|()| PeerConnection::new(stream, exchange.key.clone()))
+            .ok(),
         _ => None,
     };
     let Some(connection) = connection.map(Rc::new) else {
--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -9,7 +9,6 @@
 
 use bytes::{Buf, BytesMut};
 use hornbeam_node::frames::length_prefixed;
-use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -36,13 +35,13 @@
 }
 
 impl PeerConnection {
-    /// Wraps a newly established connection.
+    /// Wraps a connection that was accepted or has just been prepared.
     ///
     /// # Errors
     ///
     /// Returns an error if a socket option cannot be set.
     pub fn new(stream: TcpStream, key: FrameKey) -> io::Result<Self> {
-        socket::prepare(&stream, socket::PEERS)?;
+        stream.set_nodelay(true)?;
         Ok(Self {
             stream,
             key,
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -9,6 +9,7 @@
 use hornbeam_node::clock::Clock;
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
+use hornbeam_node::socket;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::HealthReport;
@@ -17,7 +18,6 @@
 use hyper::StatusCode;
 use serde_json::json;
 use snafu::ResultExt;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -95,7 +95,7 @@
     let (stage_tx, stage) = watch::channel(Stage::Serving);
 
     let callers = settings.callers.ok_or(ProgramError::Missing { field: "callers" })?;
-    let listener = TcpListener::bind(callers).await;
+    let listener = socket::listen(callers, socket::CALLERS).await;
     let listener = listener.context(BindSnafu { field: "callers", address: callers })?;
     if let Some(address) = settings.ready {
         let pages = ready_pages(&core, stage.clone(), ready_path);
@@ -104,7 +104,7 @@
     let metrics = core.metrics.clone();
     program::serve_metrics(settings.metrics, move || metrics.text()).await?;
     let inner = settings.bind_address(SocketAddr::new(settings.address, settings.inner_port));
-    let group_listener = TcpListener::bind(inner).await;
+    let group_listener = socket::listen(inner, socket::PEERS).await;
     let group_listener =
         group_listener.context(BindSnafu { field: "inner_port", address: inner })?;
     tokio::task::spawn_local(group_exchange::accept(core.clone(), group_listener));
--- a/crates/hornbeam_node/src/control/net.rs
+++ b/crates/hornbeam_node/src/control/net.rs
@@ -106,7 +106,7 @@
     /// Returns an error if the address cannot be bound.
     pub async fn open(params: NetParams) -> std::io::Result<(Self, Incoming)> {
         let udp = Rc::new(UdpSocket::bind(params.address).await?);
-        let listener = TcpListener::bind(params.address).await?;
+        let listener = socket::listen(params.address, socket::CONTROL).await?;
         let (tx, messages) = mpsc::unbounded_channel();
         let (stale_tx, stale_sessions) = mpsc::unbounded_channel();
         let receiver = Rc::new(Receiver {
@@ -237,10 +237,7 @@
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, from)) => {
-                if let Err(e) = socket::prepare(&stream, socket::CONTROL) {
-                    log::warn!("cannot set the socket options of a stream from {from}: {e}");
-                }
+            Ok((stream, _)) => {
                 let receiver = receiver.clone();
                 tokio::task::spawn_local(async move {
                     read_stream(stream, &receiver).await;
--- a/crates/hornbeam_node/src/pages.rs
+++ b/crates/hornbeam_node/src/pages.rs
@@ -30,7 +30,7 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub async fn serve(address: SocketAddr, pages: Pages) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = socket::listen(address, socket::CALLERS).await?;
     tokio::task::spawn_local(accept(listener, IDLE_TIMEOUT, move |req| {
         let response = respond(&pages, &req);
         async move { response }
@@ -50,10 +50,6 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        // The options cannot be set on a connection that has ended meanwhile.
-        if socket::prepare(&stream, socket::CALLERS).is_err() {
-            continue;
-        }
         let handler = handler.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |req| {
--- a/crates/hornbeam_node/src/socket.rs
+++ b/crates/hornbeam_node/src/socket.rs
@@ -6,10 +6,11 @@
 //! number.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Limits on the silence of the peer of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,7 +43,7 @@
         }
     }
 
-    /// Sets the limits on a socket. Connections that a listening socket accepts inherit them.
+    /// Sets the limits on a socket.
     ///
     /// # Errors
     ///
@@ -56,7 +57,19 @@
     }
 }
 
-/// Prepares a connection: sends small messages at once, and ends by `liveness`.
+/// Listens on an address. The connections that are accepted inherit the limits, which costs them no
+/// system calls.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound or an option cannot be set.
+pub async fn listen(address: SocketAddr, liveness: Liveness) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    liveness.apply(SockRef::from(&listener))?;
+    Ok(listener)
+}
+
+/// Prepares a connection that was opened: sends small messages at once, and ends by `liveness`.
 ///
 /// # Errors
 ///
--- a/crates/hornbeam_node/tests/socket_options.rs
+++ b/crates/hornbeam_node/tests/socket_options.rs
@@ -2,7 +2,7 @@
 //!
 //! A library's own TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their number.
 
-use hornbeam_node::socket::{CALLERS, CONTROL, Liveness, PEERS, SERVERS, prepare};
+use hornbeam_node::socket::{CALLERS, CONTROL, Liveness, PEERS, SERVERS, listen, prepare};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -25,11 +25,12 @@
 }
 
 #[tokio::test]
-async fn inherited_options() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    CALLERS.apply(SockRef::from(&listener)).unwrap();
-    let address = listener.local_addr().unwrap();
-    let (accepted, opened) = tokio::join!(listener.accept(), TcpStream::connect(address));
-    opened.unwrap();
-    assert_options(&SockRef::from(&accepted.unwrap().0), CALLERS);
+async fn accepted_connections() {
+    for liveness in [CALLERS, PEERS, CONTROL] {
+        let listener = listen("127.0.0.1:0".parse().unwrap(), liveness).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (accepted, opened) = tokio::join!(listener.accept(), TcpStream::connect(address));
+        opened.unwrap();
+        assert_options(&SockRef::from(&accepted.unwrap().0), liveness);
+    }
 }
