Services are looked at for a relay only if a server is out of use

Each search looked at all servers of all its shards up to three times. Now one look decides whether any is ejected or in an unreachable zone.

--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -80,7 +80,9 @@
         };
         let services = self.services_for(&route);
         let delegates = self.should_delegate(&route, &services);
-        let beyond_reach = services.iter().map(|s| self.needs_relay(now, *s)).collect::<Vec<_>>();
+        let may_need_relay = self.may_need_relay();
+        let needs_relay = |s: &usize| may_need_relay && self.needs_relay(now, *s);
+        let beyond_reach: Vec<bool> = services.iter().map(needs_relay).collect();
         let relayed = beyond_reach.iter().filter(|r| **r).count();
         self.demand.record(now, 1.0 - relayed as f64 / services.len().max(1) as f64);
         // Delegated shards count toward the retry budget of the entries that send them.
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -112,9 +112,10 @@
     /// Sends the shards that this entry gathers for its own request.
     fn send_own_group(&mut self, now: Mono, key: QueryId, shards: &[usize], out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
+        let may_need_relay = self.may_need_relay();
         for shard in shards {
             let service = running.shards[*shard].service;
-            if !self.needs_relay(now, service) {
+            if !(may_need_relay && self.needs_relay(now, service)) {
                 self.services[service].record_request(now);
             }
         }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -65,7 +65,7 @@
         out: &mut Vec<Output>,
     ) {
         let Some(running) = self.requests.get(&key) else { return };
-        let may_relay = !running.is_group();
+        let may_relay = !running.is_group() && self.may_need_relay();
         let needs_relay =
             |s: &usize| may_relay && self.needs_relay(now, running.shards[*s].service);
         let (relayed, own): (Vec<usize>, Vec<usize>) = shards.iter().partition(|s| needs_relay(s));
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -16,6 +16,7 @@
 use super::{Engine, Output, group_size};
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, ShardStatus};
+use crate::server::Server;
 
 /// Entries that a shard is relayed to at most, one after the other.
 const MAX_RELAYS: u32 = 6;
@@ -34,6 +35,13 @@
         self.unavailable_for(now, service)
     }
 
+    /// Returns false if this entry reaches all its servers, as far as is known. Asked once for many
+    /// services, it saves looking at each of them.
+    pub(super) fn may_need_relay(&self) -> bool {
+        let out_of_use = |s: &Server| s.usable && s.is_ejected();
+        self.is_detached() || self.zones.any_unreachable() || self.servers.iter().any(out_of_use)
+    }
+
     /// Returns true if another entry may reach the servers of a service, and this one reaches none.
     /// Servers that asked for a pause are left alone by all entries.
     pub(super) fn needs_relay(&self, now: Mono, service: usize) -> bool {
--- a/crates/hornbeam_route/src/zones.rs
+++ b/crates/hornbeam_route/src/zones.rs
@@ -77,6 +77,11 @@
         self.zones.get(zone).is_some_and(|z| z.silence.is_unreachable())
     }
 
+    /// Returns true if a zone is unreachable.
+    pub fn any_unreachable(&self) -> bool {
+        self.zones.values().any(|z| z.silence.is_unreachable())
+    }
+
     /// Returns true if the zone has been unreachable for long enough to count as lost.
     pub fn is_lost(&self, now: Mono, zone: &SmolStr) -> bool {
         let since = self.zones.get(zone).and_then(|z| z.silence.unreachable_since());
