An entry that was paused reads a group and its cancellation together

A gathering entry read 8 KiB at a time, so after a pause it began groups whose cancellation stood behind other groups in the same socket buffer, and sent requests that their origin had given up. It now reads what has arrived first.

--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -21,6 +21,8 @@
 /// keep up. Multiplied by the number of entries in a zone, it is a fraction of the smallest entry's
 /// memory.
 const MAX_PENDING_BYTES: usize = 2 << 20;
+/// Bytes that are read before the messages in them are handled, unless a longer one is incomplete.
+const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES + MAX_PENDING_BYTES;
 /// Buffer capacity reserved for one read, in bytes.
 const READ_BYTES: usize = 8 << 10;
 
@@ -107,13 +109,21 @@
         }
     }
 
+    /// Reads all bytes that have arrived, up to [`MAX_BATCH_BYTES`]. A read that leaves room in the
+    /// buffer was the last one.
     fn read(&self, buf: &mut BytesMut) -> io::Result<()> {
-        buf.reserve(READ_BYTES);
-        match self.stream.try_read_buf(buf) {
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
-            Err(e) if e.kind() != io::ErrorKind::WouldBlock => Err(e),
-            Ok(_) | Err(_) => Ok(()),
+        while buf.len() < MAX_BATCH_BYTES {
+            buf.reserve(READ_BYTES);
+            let room = buf.capacity() - buf.len();
+            match self.stream.try_read_buf(buf) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) if read < room => return Ok(()),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
         }
+        Ok(())
     }
 
     fn flush(&self) -> io::Result<()> {
