Only failed links make another entry send a shard

A shard is relayed if this entry is detached, or each of its servers is in an unreachable zone or refused the last connection.

--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -54,6 +54,7 @@
     ) {
         let latency = now.since(in_flight.sent_at);
         if outcome.is_response() {
+            self.servers[in_flight.server].record_connection(true);
             self.record_zone_response(now, in_flight.server, out);
             self.record_access(now, out);
         } else if outcome != AttemptOutcome::Withheld {
@@ -76,6 +77,8 @@
             AttemptOutcome::Error => self.servers[in_flight.server].record_error(),
             AttemptOutcome::NotRun => self.servers[in_flight.server].record_shed(),
             AttemptOutcome::WrongServer | AttemptOutcome::NotSent => {
+                let opened = outcome == AttemptOutcome::WrongServer;
+                self.servers[in_flight.server].record_connection(opened);
                 let time = self.servers[in_flight.server].eject(now);
                 self.log_ejection(in_flight, time, out);
             }
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -174,7 +174,7 @@
         let Some(running) = self.requests.get(&key) else { return Vec::new() };
         let is_unsent = |s: &ShardProgress| {
             let received = matches!(s.status, ShardStatus::Received(_));
-            !received && s.possible_runs == 0 && self.beyond_reach_for(now, s.service).is_some()
+            !received && s.possible_runs == 0 && self.all_out_of_reach(now, s.service)
         };
         let shards = running.shards.iter().enumerate();
         shards.filter(|(_, s)| is_unsent(s)).map(|(i, _)| i).collect()
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -42,15 +42,29 @@
         self.is_detached() || self.zones.any_unreachable() || self.servers.iter().any(out_of_use)
     }
 
+    /// Returns true if the links to a server have failed. One that asked for a pause is left alone by
+    /// all entries, and one that is slow for this entry is so for the others.
+    fn is_out_of_reach(&self, now: Mono, server: &Server) -> bool {
+        let links_failed = self.is_detached()
+            || self.zones.is_unreachable(&server.zone)
+            || server.refuses_connections();
+        links_failed && !server.is_paused(now)
+    }
+
+    /// Returns true if the links to all servers of a service have failed.
+    pub(super) fn all_out_of_reach(&self, now: Mono, service: usize) -> bool {
+        let mut servers = self.services[service].servers.iter();
+        servers.all(|s| self.is_out_of_reach(now, &self.servers[*s]))
+    }
+
     /// Returns true if another entry may reach the servers of a service, and this one reaches none.
-    /// Servers that asked for a pause are left alone by all entries.
     pub(super) fn needs_relay(&self, now: Mono, service: usize) -> bool {
         let known = &self.services[service];
         !known.servers.is_empty()
             && now >= known.unservable_until()
             && self.peers.can_relay()
             && self.beyond_reach_for(now, service).is_some()
-            && !known.servers.iter().any(|s| self.servers[*s].is_paused(now))
+            && self.all_out_of_reach(now, service)
     }
 
     /// Relays shards of a request to other entries; those that no entry can take are missing.
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -90,6 +90,8 @@
     peer_report: Option<(f64, Mono)>,
     failure_rate: f64,
     consecutive_failures: u32,
+    /// True from a connection that could not be opened until the next response.
+    refuses_connections: bool,
     ejected_until: Option<Mono>,
     probed_at: Mono,
     /// End of the pause that the server asked for; in the past if there is none.
@@ -119,6 +121,7 @@
             peer_report: None,
             failure_rate: 0.0,
             consecutive_failures: 0,
+            refuses_connections: false,
             ejected_until: None,
             probed_at: Mono::default(),
             paused_until: Mono::default(),
@@ -151,8 +154,20 @@
         self.ejected_until.is_some()
     }
 
+    /// Records whether a connection to the server could be opened.
+    pub fn record_connection(&mut self, opened: bool) {
+        self.refuses_connections = !opened;
+    }
+
+    /// Returns true if no connection could be opened and no response has arrived since. An ejection
+    /// without it shows that the server is slow or at its limit rather than out of reach.
+    pub fn refuses_connections(&self) -> bool {
+        self.refuses_connections
+    }
+
     /// Ends an ejection whose cause was not the server.
     pub fn end_ejection(&mut self) {
+        self.refuses_connections = false;
         self.ejected_until = None;
         self.consecutive_failures = 0;
     }
