A request is relayed before it has tried all servers of a large service

Lookups go to services of six servers, and five refused connections end a shard before it is known that this entry reaches none of them. After two refused connections and nothing sent, another entry gets it.

--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -276,7 +276,7 @@
         let allowed = may_run
             && progress.attempts < super::placement::MAX_ATTEMPTS_PER_SHARD
             && now < running.deadline;
-        if allowed && !running.is_group() && self.needs_relay(now, progress.service) {
+        if allowed && self.should_relay(now, running, shard) {
             self.relay(now, key, &[shard], None, out);
             let Some(running) = self.requests.get(&key) else { return false };
             return running.shards[shard].delegated;
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -22,6 +22,8 @@
 const MAX_RELAYS: u32 = 6;
 /// Entries at most that may refuse a shard for lack of capacity or servers before its request ends.
 const MAX_REFUSED_RELAYS: u32 = 2;
+/// Servers of one shard that refuse connections before it is relayed.
+const MAX_REFUSED_CONNECTIONS: usize = 2;
 /// Percentage of the time until the response is due, or of the remaining time after that, in which
 /// another entry has to start gathering.
 const START_PERCENT: u32 = 45;
@@ -67,6 +69,23 @@
             && self.all_out_of_reach(now, service)
     }
 
+    /// Returns true if a shard that has failed here should be relayed: if this entry reaches none of
+    /// its servers, or none that it has tried. A service may have more servers than a shard may have
+    /// attempts.
+    pub(super) fn should_relay(&self, now: Mono, running: &RunningRequest, shard: usize) -> bool {
+        let progress = &running.shards[shard];
+        if running.is_group() {
+            return false;
+        }
+        let refused = |s: &usize| self.servers[*s].refuses_connections();
+        let all_refused = progress.deliveries == 0
+            && progress.tried.len() >= MAX_REFUSED_CONNECTIONS
+            && progress.tried.iter().all(refused);
+        let may_ask =
+            || self.peers.can_relay() && now >= self.services[progress.service].unservable_until();
+        self.needs_relay(now, progress.service) || (all_refused && may_ask())
+    }
+
     /// Relays shards of a request to other entries; those that no entry can take are missing.
     /// `tried` has refused them before.
     pub(super) fn relay(
@@ -156,8 +175,7 @@
     ) {
         let Some(running) = self.requests.get(&key) else { return };
         let needs_relay = |s: &usize| {
-            let shard = &running.shards[*s];
-            shard.in_flight.is_empty() && self.needs_relay(now, shard.service)
+            running.shards[*s].in_flight.is_empty() && self.should_relay(now, running, *s)
         };
         let (relayed, own): (Vec<usize>, Vec<usize>) = shards.into_iter().partition(needs_relay);
         self.relay(now, key, &relayed, None, out);
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -301,3 +301,21 @@
     let failed = world.ended.iter().filter(|e| matches!(e.completion, Completion::Refuse(_)));
     assert!(failed.count() > 20, "no connection was dropped while a request ran");
 }
+
+#[test]
+fn many_copies() {
+    // A service has more servers than a shard has attempts: a request is relayed before it has tried
+    // so many of them that it is refused.
+    let lookup = Route { idempotent: false, ..single("lookup", "tablet", 800) };
+    let mut world = World::new(16, 10, vec![lookup], vec![10 * MS], 8);
+    world.connect_peers();
+    run(&mut world, 60.0, 3 * SECOND);
+    world.run(SECOND);
+    world.ended.clear();
+    world.detach_entry(0, LinkFault::Reset);
+    for _ in 0..3 {
+        world.request_at(0, 0);
+        world.run(100 * MS);
+    }
+    assert_eq!(world.served_at(|entry| entry == 0), (1.0, 3));
+}
