Shards that may not be relayed keep waiting for their response

When an entry becomes detached, a shard whose retry the budget denied was given up although its attempt might still respond. Comments that named one of two cases.

--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -130,9 +130,10 @@
         late: usize,
         sends: u32,
     },
-    /// Another entry is suspected and gets no groups until a message from it arrives.
+    /// Another entry gets no groups: it did not respond, until a message from it arrives, or it states
+    /// that it gathers none, until it states the opposite.
     PeerSuspected { peer: InstanceId },
-    /// Another entry is no longer suspected and gets groups again.
+    /// Another entry gets groups again.
     PeerRestored { peer: InstanceId },
     /// An attempt ended without a successful response.
     AttemptFailed {
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -1,8 +1,9 @@
 //! Requests that end the servers that run them.
 //!
 //! A lost connection makes the request in flight a suspect only once a check has shown that the
-//! server has ended: it refuses connections, and another server accepts one. A quarantined request reaches no server: not as a first attempt, from the queue,
-//! as a hedge, retry or probe, and not in a group of another entry.
+//! server has ended: it refuses connections, and another server accepts one. A quarantined request
+//! reaches no server: not as a first attempt, from the queue, as a hedge, retry or probe, and not in
+//! a group of another entry.
 
 use std::net::SocketAddr;
 
--- a/crates/hornbeam_route/src/engine/detachment.rs
+++ b/crates/hornbeam_route/src/engine/detachment.rs
@@ -57,15 +57,16 @@
         out.push(Output::DeclineGroup(key));
     }
 
-    /// Relays the shards of a caller's request that wait for a server or for its response.
+    /// Relays the shards of a caller's request that wait for a server or for its response. Those that
+    /// may not be sent again keep waiting.
     fn relay_running(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
-        let is_stuck = |s: usize| {
-            let shard = &running.shards[s];
-            shard.status == ShardStatus::Open && !shard.delegated && running.may_run(s)
-        };
-        let stuck: Vec<usize> = (0..running.shards.len()).filter(|s| is_stuck(*s)).collect();
         let idempotent = running.route.idempotent;
+        let waits = |s: &usize| {
+            running.shards[*s].status == ShardStatus::Open && !running.shards[*s].delegated
+        };
+        let mut stuck: Vec<usize> = (0..running.shards.len()).filter(waits).collect();
+        stuck.retain(|s| self.may_relay(now, key, *s));
         for shard in &stuck {
             self.dequeue(key, *shard);
             let Some(running) = self.requests.get_mut(&key) else { return };
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -118,7 +118,8 @@
         running.reclaim_at = Some(running.reclaim_at.map_or(start_by, |at| at.min(start_by)));
     }
 
-    fn may_relay(&mut self, now: Mono, key: QueryId, shard: usize) -> bool {
+    /// Returns true if a shard may be sent by another entry.
+    pub(super) fn may_relay(&mut self, now: Mono, key: QueryId, shard: usize) -> bool {
         let Some(running) = self.requests.get(&key) else { return false };
         let progress = &running.shards[shard];
         let (service, deliveries) = (progress.service, progress.deliveries);
