Up to three servers show whether new connections work

A check asked one other server, that which had responded last. While a request ends one server after the other, that one may have ended too, and nothing was recorded; and a detached entry recorded no end at all, although three dead servers are enough to suspect it. Now up to three others are asked, ejected ones last, and their connections alone decide. Test: crash_suspects witnesses_run, written with the change.

Their first cause was the soak's new proxy, which went on accepting connections for a server that had ended; it ends with its server now.

--- a/crates/hornbeam_discovery/src/entry_lists.rs
+++ b/crates/hornbeam_discovery/src/entry_lists.rs
@@ -1,11 +1,11 @@
-//! Which entries an entry is told of.
+//! The entries whose addresses an entry gets.
 
 use hornbeam_model::Zone;
 use hornbeam_protocol::discovery::EntryInfo;
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Entries of each other zone that the entries of a zone are told of: enough that some have servers
+/// Entries of each other zone whose addresses the entries of a zone get: enough that some have servers
 /// when most entries have lost theirs, and few beside the entries of a large zone.
 const OTHER_ZONE_ENTRIES: usize = 8;
 
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`crash_reports`]: requests in flight at servers that ended, collected at a controller
 //! - [`registry`]: the servers registered at one controller
 //! - [`directory`]: the feeds of all controllers, merged at one entry
-//! - [`entry_lists`]: which entries an entry is told of
+//! - [`entry_lists`]: the entries whose addresses an entry gets
 //! - [`initial_sync`]: whether an entry has received the controllers' state after its start
 //! - [`health_reports`]: health reports of entries about servers, aggregated at a controller
 //! - [`rate_reports`]: rates that servers state, and the demand for them, aggregated at a controller
--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -99,13 +99,13 @@
     }
 
     /// Returns true if nothing listens at the address of a server any more, some time after a
-    /// connection to it was lost. If `witness`, another server, accepts no connections either, the
-    /// links of this entry may be at fault.
+    /// connection to it was lost. If there are `witnesses`, other servers, and none of them accepts
+    /// connections either, the links of this entry may be at fault.
     pub async fn has_ended(
         &self,
         server: &ServerId,
         address: SocketAddr,
-        witness: Option<(ServerId, SocketAddr)>,
+        witnesses: &[(ServerId, SocketAddr)],
     ) -> bool {
         tokio::time::sleep(END_CHECK_DELAY).await;
         if self.has_open_connection(server) {
@@ -116,10 +116,12 @@
         if !matches!(connect.await, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused) {
             return false;
         }
-        match witness {
-            Some((witness, address)) => self.probe(&witness, address).await,
-            None => true,
+        for (witness, address) in witnesses {
+            if self.probe(witness, *address).await {
+                return true;
+            }
         }
+        witnesses.is_empty()
     }
 
     /// Opens a connection to a server and keeps it for a request; returns true if it stays open. A
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -283,10 +283,10 @@
                 self.results.borrow_mut().remove(&attempt);
             }
             Output::CloseIdle(server) => self.backends.close(&server),
-            Output::CheckServer { server, incarnation, address, witness } => {
+            Output::CheckServer { server, incarnation, address, witnesses } => {
                 let core = self.clone();
                 tokio::task::spawn_local(async move {
-                    let has_ended = core.backends.has_ended(&server, address, witness).await;
+                    let has_ended = core.backends.has_ended(&server, address, &witnesses).await;
                     core.step(Input::ServerChecked { server, incarnation, has_ended });
                 });
             }
--- a/crates/hornbeam_entry/tests/refused_connections.rs
+++ b/crates/hornbeam_entry/tests/refused_connections.rs
@@ -17,10 +17,11 @@
         let open = listener.local_addr().unwrap();
         let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let backends = Backends::default();
-        assert!(backends.has_ended(&ended, closed, Some((accepting, open))).await);
-        assert!(!backends.has_ended(&ended, closed, Some((refusing, closed))).await);
-        assert!(backends.has_ended(&ended, closed, None).await, "there is no other server");
-        assert!(!backends.has_ended(&ended, open, None).await);
+        let [refusing, accepting] = [(refusing, closed), (accepting, open)];
+        assert!(!backends.has_ended(&ended, closed, std::slice::from_ref(&refusing)).await);
+        assert!(backends.has_ended(&ended, closed, &[refusing, accepting]).await);
+        assert!(backends.has_ended(&ended, closed, &[]).await, "there is no other server");
+        assert!(!backends.has_ended(&ended, open, &[]).await);
     });
 }
 
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -5,6 +5,7 @@
 //! reaches no server: not as a first attempt, from the queue, as a hedge, retry or probe, and not in
 //! a group of another entry.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use hornbeam_model::{
@@ -13,6 +14,10 @@
 
 use super::{Engine, InFlightAttempt, Output};
 use crate::decision::Decision;
+use crate::server::Server;
+
+/// Other servers that a check connects to at most, one after the other.
+const WITNESSES: usize = 3;
 
 impl Engine {
     /// Returns the runs during which servers ended that this entry has observed or cleared since the
@@ -94,19 +99,19 @@
         let run = CrashedRun { fingerprint, server: id.clone(), incarnation, span, cleared: false };
         self.crash_history.record(now, run);
         if self.pending_checks.insert(id.clone(), incarnation) != Some(incarnation) {
-            let witness = self.witness(in_flight.server);
-            out.push(Output::CheckServer { server: id, incarnation, address, witness });
+            let witnesses = self.witnesses(in_flight.server);
+            out.push(Output::CheckServer { server: id, incarnation, address, witnesses });
         }
     }
 
-    /// Returns another server that should accept connections: the one that responded last, if possible
-    /// of another service than the server at this position. If it accepts none either, the links of
+    /// Returns other servers that should accept connections: those that responded last, before those
+    /// that are ejected, since these may have ended as well. If none accepts one either, the links of
     /// this entry are at fault.
-    fn witness(&self, checked: usize) -> Option<(ServerId, SocketAddr)> {
-        let service = self.servers[checked].service;
+    fn witnesses(&self, checked: usize) -> Vec<(ServerId, SocketAddr)> {
         let others = self.servers.iter().enumerate().filter(|(i, s)| *i != checked && s.usable);
-        let latest = others.max_by_key(|(i, s)| (s.answered_at(), s.service != service, *i));
-        latest.map(|(_, s)| (s.id.clone(), s.address))
+        let mut others: Vec<&Server> = others.map(|(_, s)| s).collect();
+        others.sort_by_key(|s| (s.is_ejected(), Reverse(s.answered_at())));
+        others.into_iter().take(WITNESSES).map(|s| (s.id.clone(), s.address)).collect()
     }
 
     pub(super) fn on_server_checked(
@@ -119,7 +124,7 @@
         if self.pending_checks.get(server) == Some(&incarnation) {
             self.pending_checks.swap_remove(server);
         }
-        if !has_ended || self.is_detached() {
+        if !has_ended {
             return self.crash_history.discard_unconfirmed(server, incarnation);
         }
         if let Some(idx) = self.server_names.get(server).copied()
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -324,8 +324,8 @@
         incarnation: Incarnation,
         /// Address on which it accepted requests.
         address: SocketAddr,
-        /// Another server; if it refuses connections as well, the check shows nothing.
-        witness: Option<(ServerId, SocketAddr)>,
+        /// Other servers; if there are some and none accepts a connection, the check shows nothing.
+        witnesses: Vec<(ServerId, SocketAddr)>,
     },
     /// Delegate a shard group to another entry.
     Delegate(Delegation),
--- a/crates/hornbeam_route/tests/common/links.rs
+++ b/crates/hornbeam_route/tests/common/links.rs
@@ -66,7 +66,7 @@
         reached.map(|(_, servers)| servers.len()).sum()
     }
 
-    /// Returns the requests whose callers were told that they had not run, though a server had
+    /// Returns the requests that were refused as not run although a server had
     /// accepted them.
     pub fn refused_and_run(&self) -> Vec<QueryId> {
         let has_not_run =
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -802,8 +802,8 @@
                     }
                 }
             }
-            Output::CheckServer { server, incarnation, witness, .. } => {
-                let witnessed = witness.is_none_or(|(w, _)| self.accepts(entry, &w));
+            Output::CheckServer { server, incarnation, witnesses, .. } => {
+                let witnessed = witnesses.iter().any(|(w, _)| self.accepts(entry, w));
                 let has_ended = witnessed && self.seems_ended(entry, &server, incarnation);
                 self.step(entry, Input::ServerChecked { server, incarnation, has_ended });
             }
--- a/crates/hornbeam_route/tests/crash_suspects.rs
+++ b/crates/hornbeam_route/tests/crash_suspects.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::harness::Harness;
+use common::harness::{Harness, usable};
 use common::{CONSORTIUM, Fault, World};
 use hornbeam_model::{CrashReport, CrashedRun, Fingerprint, Incarnation, Mono, RunSpan};
 use hornbeam_route::{AttemptOutcome, Completion, CrashHistory, Input, Output, RefusalKind};
@@ -355,3 +355,31 @@
     harness.step(NOW + 50 * MS, checked);
     assert!(harness.engine.take_crash_reports(NOW + 400 * MS).is_empty());
 }
+
+/// Servers that have ended before are the last that are asked whether connections work: while a request
+/// ends one server after the other, none of them would accept one.
+#[test]
+fn witnesses_run() {
+    let mut harness = harness();
+    for server in 2..6 {
+        harness.step(NOW, Input::Servers(vec![usable(server, 1)]));
+    }
+    let mut ended = Vec::new();
+    for round in 0..3 {
+        let at = NOW + round * 100 * MS;
+        let attempt = harness.request(at, 10 + u64::from(round)).expect("sent");
+        let outcome = AttemptOutcome::ConnectionLost;
+        harness.step(at, Input::AttemptFinished { attempt, outcome, notice: Default::default() });
+        let check = harness.out.iter().find_map(|o| match o {
+            Output::CheckServer { server, incarnation, witnesses, .. } => {
+                Some((server.clone(), *incarnation, witnesses.clone()))
+            }
+            _ => None,
+        });
+        let (server, incarnation, witnesses) = check.expect("the server is checked");
+        assert!(witnesses.iter().all(|(w, _)| !ended.contains(w)), "{witnesses:?}");
+        ended.push(server.clone());
+        harness.step(at + MS, Input::ServerChecked { server, incarnation, has_ended: true });
+        harness.out.clear();
+    }
+}
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -185,7 +185,7 @@
 #[test]
 fn other_zones_in_touch() {
     // A detached entry is not isolated from the fleet: its feeds were heard less than 200 ms ago only
-    // half of the time, and it told its peers every second that it is leaving.
+    // half of the time, and its peers heard every second that it is leaving.
     let mut world = small(9);
     run(&mut world, 20.0, 3 * SECOND);
     world.detach_entry(0, LinkFault::Silent);
@@ -236,7 +236,7 @@
 
 #[test]
 fn all_entries() {
-    // Nobody reaches a server: each request is refused at once, and none goes in circles.
+    // No entry reaches a server: each request is refused at once, and none goes in circles.
     let mut world = small(12);
     detach(&mut world, 20.0, LinkFault::Silent, |_| true);
     world.decisions.clear();
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -204,9 +204,11 @@
             }),
         };
         let started = routed::start(params).await;
-        let running = started.map_err(|e| format!("cannot start a server: {e}"))?;
-        let (links, server) = (self.fleet.entry_links.clone(), running.server.listen_address);
-        tokio::spawn(async move { links.proxy(proxy, server).await });
+        let mut running = started.map_err(|e| format!("cannot start a server: {e}"))?;
+        let (links, server) = (self.fleet.entry_links.clone(), running.server.clone());
+        let forward = async move { links.proxy(proxy, server.listen_address).await };
+        let forward = running.server.clone().until_end(forward);
+        running.add_task(tokio::spawn(forward).abort_handle());
         self.servers.push(running);
         Ok(())
     }
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -159,6 +159,13 @@
     tasks: Vec<AbortHandle>,
 }
 
+impl Running {
+    /// Adds a task that ends with the server, for example one that forwards connections to it.
+    pub fn add_task(&mut self, task: AbortHandle) {
+        self.tasks.push(task);
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         for task in &self.tasks {
@@ -240,7 +247,7 @@
     }
 
     /// Runs a task of the server until a request ends the server.
-    async fn until_end(self: Arc<Self>, task: impl Future<Output = ()>) {
+    pub async fn until_end(self: Arc<Self>, task: impl Future<Output = ()>) {
         let mut ended = self.ended.subscribe();
         tokio::select! {
             () = task => {}
