Fleet tests have no proxies in front of servers

Cause: the soak's new proxy reads /proc to find the entry of each connection that is opened, in the process that also runs the stand-ins; beside that load the first searches were late. Only soak runs have them now; the programs that serve are unchanged.

--- a/crates/hornbeam_soak/src/main.rs
+++ b/crates/hornbeam_soak/src/main.rs
@@ -64,6 +64,7 @@
                 net: 20 + (next % 200) as u8,
                 length: Duration::from_secs(args.seconds),
                 programs: (args.entries, args.controllers),
+                server_proxies: true,
             };
             tasks.spawn(run_and_report(options, args.logs.clone()));
             next += 1;
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -50,6 +50,9 @@
     pub length: Duration,
     /// Number of entries and number of controllers.
     pub programs: (usize, usize),
+    /// Whether a proxy stands in front of each server, which [`Fault::ServerLinks`] needs. It takes
+    /// milliseconds to find the entry that opened a connection.
+    pub server_proxies: bool,
 }
 
 /// Result of a run.
@@ -119,6 +122,7 @@
     next_server: usize,
     version: Arc<AtomicU64>,
     stopping: Arc<AtomicBool>,
+    server_proxies: bool,
 }
 
 impl FleetRun {
@@ -140,6 +144,7 @@
             next_server: 0,
             version: Arc::new(AtomicU64::new(1)),
             stopping: Arc::default(),
+            server_proxies: options.server_proxies,
         };
         for service in services() {
             for _ in 0..SERVERS_PER_SERVICE {
@@ -174,9 +179,12 @@
         let ledger = self.ledger.clone();
         let is_shard = service.starts_with("shard");
         let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let proxy = TcpListener::bind(listen).await;
-        let proxy = proxy.map_err(|e| format!("cannot bind a proxy: {e}"))?;
-        let advertise = proxy.local_addr().ok();
+        let proxy = match self.server_proxies {
+            true => Some(TcpListener::bind(listen).await),
+            false => None,
+        };
+        let proxy = proxy.transpose().map_err(|e| format!("cannot bind a proxy: {e}"))?;
+        let advertise = proxy.as_ref().and_then(|p| p.local_addr().ok());
         let params = RoutedParams {
             name: format!("{service}-{n}").parse().expect(valid),
             service: service.parse().expect(valid),
@@ -205,10 +213,12 @@
         };
         let started = routed::start(params).await;
         let mut running = started.map_err(|e| format!("cannot start a server: {e}"))?;
-        let (links, server) = (self.fleet.entry_links.clone(), running.server.clone());
-        let forward = async move { links.proxy(proxy, server.listen_address).await };
-        let forward = running.server.clone().until_end(forward);
-        running.add_task(tokio::spawn(forward).abort_handle());
+        if let Some(proxy) = proxy {
+            let (links, server) = (self.fleet.entry_links.clone(), running.server.clone());
+            let forward = async move { links.proxy(proxy, server.listen_address).await };
+            let forward = running.server.clone().until_end(forward);
+            running.add_task(tokio::spawn(forward).abort_handle());
+        }
         self.servers.push(running);
         Ok(())
     }
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -24,6 +24,7 @@
         net,
         length: Duration::from_secs(5),
         programs,
+        server_proxies: false,
     }
 }
 
@@ -196,7 +197,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn short_soak() {
     let folder = tempfile::tempdir().unwrap();
-    let outcome = run_seed(&options(14, 3, (3, 4)), folder.path()).await.expect("the fleet starts");
+    let options = Options { server_proxies: true, ..options(14, 3, (3, 4)) };
+    let outcome = run_seed(&options, folder.path()).await.expect("the fleet starts");
     assert_eq!(outcome.violations, Vec::<String>::new(), "{:#?}", outcome.faults);
     assert!(outcome.served > 500, "{} of {}", outcome.served, outcome.requests);
 }
