Witnesses are asked during the delay of a check; zone probes prefer servers that run

Two causes, traced in its log. The check of an ended server asked its witnesses after its delay of 50 ms and waited 10 ms more, so a fourth server ended before the request was quarantined; and four ended servers make their zone seem unreachable, whose next probe went to a server that had ended.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -107,21 +107,15 @@
         address: SocketAddr,
         witnesses: &[(ServerId, SocketAddr)],
     ) -> bool {
-        tokio::time::sleep(END_CHECK_DELAY).await;
-        if self.has_open_connection(server) {
+        // The witnesses are asked meanwhile, since each further end counts before the check is done.
+        let (witnessed, ()) =
+            tokio::join!(accepts_any(witnesses), tokio::time::sleep(END_CHECK_DELAY));
+        if !witnessed || self.has_open_connection(server) {
             return false;
         }
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         // An unreachable server may be running.
-        if !matches!(connect.await, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused) {
-            return false;
-        }
-        for (witness, address) in witnesses {
-            if self.probe(witness, *address).await {
-                return true;
-            }
-        }
-        witnesses.is_empty()
+        matches!(connect.await, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
     }
 
     /// Opens a connection to a server and keeps it for a request; returns true if it stays open. A
@@ -155,6 +149,17 @@
     }
 }
 
+/// Returns true if one of the servers accepts a connection, or if there are none.
+async fn accepts_any(servers: &[(ServerId, SocketAddr)]) -> bool {
+    for (_, address) in servers {
+        let connect = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
+        if matches!(connect.await, Ok(Ok(_))) {
+            return true;
+        }
+    }
+    servers.is_empty()
+}
+
 async fn connect(address: SocketAddr) -> Option<TcpStream> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.ok()?.ok()?;
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -243,6 +243,7 @@
         let mut best: Option<(usize, f64)> = None;
         let mut too_slow: Option<(usize, f64)> = None;
         let mut in_silent_zone: Option<(usize, f64)> = None;
+        let mut ejected_zone_probe: Option<(usize, f64)> = None;
         let mut full = false;
         for position in 0..self.services[service].servers.len() {
             let idx = self.services[service].servers[position];
@@ -262,7 +263,10 @@
             let cost = server.cost(now, usual) * jitter;
             if self.zones.is_unreachable(&server.zone) {
                 // A retry or hedge replaces an attempt that failed, so it is no probe.
-                if exclude.is_empty() && self.zones.start_probe_if_due(now, &server.zone) {
+                // An ejected server may have ended, which would say nothing about its zone.
+                if exclude.is_empty() && server.is_ejected() {
+                    ejected_zone_probe.get_or_insert((idx, cost));
+                } else if exclude.is_empty() && self.zones.start_probe_if_due(now, &server.zone) {
                     return ServerChoice::Server(idx, cost);
                 }
                 if !self.zones.is_lost(now, &server.zone)
@@ -283,6 +287,11 @@
                 best = Some((idx, cost));
             }
         }
+        if let Some((idx, cost)) = ejected_zone_probe
+            && self.zones.start_probe_if_due(now, &self.servers[idx].zone)
+        {
+            return ServerChoice::Server(idx, cost);
+        }
         match best.or(if full { None } else { too_slow.or(in_silent_zone) }) {
             Some((idx, cost)) => ServerChoice::Server(idx, cost),
             None if full => ServerChoice::AtCapacity,
