A shard that another entry did not run keeps its earlier possible run

A search's attempt that was in flight when the entry became detached may have run; if the entry that the shard was relayed to declined it, the shard counted as never sent: the caller could be told that it had not run, and it could be sent once more than the route allows. Since shards are relayed again, a group may start with a possible run; reclaiming it restores that number instead of zero. Test: detached earlier_run_is_kept failed before (0 instead of 1).

--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -76,6 +76,8 @@
     pub status: ShardStatus,
     /// Attempts that ran the request or may have run it.
     pub possible_runs: u32,
+    /// `possible_runs` before the shard was delegated last.
+    runs_before_delegation: u32,
     /// Attempts that reached a server or may have reached one.
     pub deliveries: u32,
     /// Attempts sent, whatever their outcome.
@@ -106,6 +108,7 @@
             service,
             status: ShardStatus::Open,
             possible_runs: 0,
+            runs_before_delegation: 0,
             deliveries: 0,
             attempts: 0,
             tried: Vec::new(),
@@ -130,6 +133,7 @@
     /// Marks the shard as delegated. It counts as sent to one server, as this entry must assume.
     pub fn delegate(&mut self) {
         self.delegated = true;
+        self.runs_before_delegation = self.possible_runs;
         self.possible_runs += 1;
         self.deliveries += 1;
         self.attempts += 1;
@@ -144,7 +148,7 @@
     pub fn reclaim(&mut self, has_not_run: bool) {
         self.delegated = false;
         if has_not_run {
-            self.possible_runs = 0;
+            self.possible_runs = self.runs_before_delegation;
             self.deliveries -= 1;
             self.attempts -= 1;
         }
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -10,6 +10,7 @@
 
 use common::{CONSORTIUM, Fault, LinkFault, Site, World, scatter, single};
 use hornbeam_model::Route;
+use hornbeam_route::request::ShardProgress;
 use hornbeam_route::{Completion, Decision};
 
 const MS: Duration = Duration::from_millis(1);
@@ -319,3 +320,15 @@
     }
     assert_eq!(world.served_at(|entry| entry == 0), (1.0, 3));
 }
+
+#[test]
+fn earlier_run_is_kept() {
+    // An attempt of this entry may have run before the shard was relayed; that the other entry ran
+    // nothing does not change that.
+    let mut shard = ShardProgress::new(0);
+    shard.possible_runs = 1;
+    shard.delegate();
+    shard.confirm_group(2);
+    shard.reclaim(true);
+    assert_eq!(shard.possible_runs, 1);
+}
