Routing tables carry a policy; feeds state which messages a process reads

Cause: teams, regions and warm-up rates have no place in the routing table, and a field added to it could not be read by the build before, in messages nor in the log. Change: Routing::policy is left out of the encoding. Controllers derive it from the document, which the log keeps whole; entries that state Features::POLICY receive it with the table of the same version. Result: workspace builds and lints; no deployment without a policy gets another message than before but for the features at the start of a feed.

--- a/crates/hornbeam_controller/src/dialect.rs
+++ b/crates/hornbeam_controller/src/dialect.rs
@@ -3,7 +3,9 @@
 //! [`Dialect::default`] is the native encoding, see docs/API.md; a platform with another one
 //! supplies its own functions.
 
-use hornbeam_model::{Incarnation, Routing, ServerId};
+use std::sync::Arc;
+
+use hornbeam_model::{Incarnation, Routing, ServerId, TrafficPolicy};
 use hornbeam_protocol::discovery::ServerClaim;
 use hyper::Method;
 
@@ -82,6 +84,14 @@
 fn parse_default_table(body: &[u8]) -> Result<Routing, String> {
     let mut table: Routing = serde_json::from_slice(body)
         .map_err(|e| format!("the routing table cannot be parsed ({e}): see docs/API.md"))?;
+    #[derive(serde::Deserialize)]
+    struct Rules {
+        #[serde(default)]
+        policy: Arc<TrafficPolicy>,
+    }
+    let rules: Rules = serde_json::from_slice(body)
+        .map_err(|e| format!("the policy of the table cannot be parsed ({e}): see docs/API.md"))?;
     table.document = body.to_vec();
+    table.policy = rules.policy;
     Ok(table)
 }
--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -10,6 +10,7 @@
 use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedUp, HealthReport};
+use hornbeam_protocol::features::Features;
 use tokio::io::AsyncRead;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -30,8 +31,8 @@
 /// Event on a feed.
 #[derive(Debug)]
 pub enum FeedEvent {
-    /// An entry opened the feed.
-    Follow(FeedId, EntryInfo, FeedSender),
+    /// An entry opened the feed and reads these messages.
+    Follow(FeedId, EntryInfo, Features, FeedSender),
     /// The entry sent a heartbeat.
     Heartbeat(FeedId),
     /// The entry requests the routing table, if there is one later than this version.
@@ -110,18 +111,23 @@
     loop {
         let frame = read_frame(stream, MAX_ENTRY_FRAME_BYTES, FEED_TIMEOUT);
         let Ok(Ok(frame)) = tokio::time::timeout(FEED_TIMEOUT, frame).await else { return };
-        let message = match key.open(&frame, MAX_ENTRY_FRAME_BYTES) {
-            Ok(FeedUp::Follow(info)) => FeedEvent::Follow(id, info, frames.clone()),
-            Ok(FeedUp::FetchTable { have }) => FeedEvent::FetchTable(id, have),
-            Ok(FeedUp::HealthReports(reports)) => FeedEvent::HealthReports(id, reports),
-            Ok(FeedUp::RateReports(reports)) => FeedEvent::RateReports(id, reports),
-            Ok(FeedUp::CrashReports(reports)) => FeedEvent::CrashReports(id, reports),
-            Ok(FeedUp::Demand(rate)) => FeedEvent::Demand(id, rate),
-            Ok(FeedUp::Heartbeat) => FeedEvent::Heartbeat(id),
+        let (message, features) = match key.open_with(&frame, MAX_ENTRY_FRAME_BYTES) {
+            Ok(opened) => opened,
             Err(e) => {
                 return log::warn!("closed the feed of an entry because of an invalid frame: {e}");
             }
         };
+        let message = match message {
+            FeedUp::Follow(info) => {
+                FeedEvent::Follow(id, info, features.unwrap_or_default(), frames.clone())
+            }
+            FeedUp::FetchTable { have } => FeedEvent::FetchTable(id, have),
+            FeedUp::HealthReports(reports) => FeedEvent::HealthReports(id, reports),
+            FeedUp::RateReports(reports) => FeedEvent::RateReports(id, reports),
+            FeedUp::CrashReports(reports) => FeedEvent::CrashReports(id, reports),
+            FeedUp::Demand(rate) => FeedEvent::Demand(id, rate),
+            FeedUp::Heartbeat => FeedEvent::Heartbeat(id),
+        };
         if tx.send(message).is_err() {
             return;
         }
--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hornbeam_model::Routing;
 use hornbeam_node::clock::{Clock, unix_us};
 use hornbeam_node::control::net::{Incoming, Net, NetParams};
 use hornbeam_node::journal::EventLog;
@@ -57,7 +58,8 @@
     let (request_tx, requests) = mpsc::unbounded_channel();
     let (reload_tx, reload) = mpsc::unbounded_channel();
     let (shutdown_tx, shutdown) = mpsc::unbounded_channel();
-    let (controller, incoming, feed_events) = build(&settings, file, &me, &log, &metrics).await?;
+    let (controller, incoming, feed_events) =
+        build(&settings, file, &me, dialect.parse_table, &log, &metrics).await?;
     let inputs = Inputs { requests, feed_events, incoming, reload, shutdown };
     let address_of = Box::new(move |name: &_| settings.api_address(name));
     let api = Rc::new(Api { dialect, tx: request_tx, address_of });
@@ -88,6 +90,7 @@
     settings: &FleetSettings,
     file: &Path,
     me: &hornbeam_model::InstanceId,
+    parse_table: fn(&[u8]) -> Result<Routing, String>,
     log: &StructuredLog,
     metrics: &Metrics,
 ) -> Result<(Controller, Incoming, mpsc::UnboundedReceiver<FeedEvent>), ProgramError> {
@@ -113,6 +116,7 @@
     let listening = crate::feed::listen(feed, key, feed_tx).await;
     listening.context(BindSnafu { field: "inner_port", address: feed })?;
     let controller = Controller::new(ControllerParams {
+        parse_table,
         settings: settings.clone(),
         file: file.to_owned(),
         me: me.clone(),
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -69,7 +69,8 @@
         match opened {
             Ok(voter) => {
                 if let Some(raft) = voter.raft() {
-                    self.tables.push(&raft.state().routing);
+                    let table = self.with_policy(&raft.state().routing);
+                    self.tables.push(&table);
                 }
                 self.voter = Some(voter);
                 self.apply_outputs(out).await;
@@ -112,11 +113,28 @@
         }
     }
 
+    /// Returns a table of the log with the policy that its document states, which the log's encoding
+    /// leaves out.
+    fn with_policy(&self, table: &Arc<Routing>) -> Arc<Routing> {
+        if table.document.is_empty() || !table.policy.is_empty() {
+            return table.clone();
+        }
+        match (self.parse_table)(&table.document) {
+            Ok(parsed) => Arc::new(Routing { policy: parsed.policy, ..Routing::clone(table) }),
+            Err(e) => {
+                // The document was parsed before it was proposed, by this build or another one.
+                self.write_log("table", true, &json!({"belief": "policy_unreadable", "reason": e}));
+                table.clone()
+            }
+        }
+    }
+
     pub(super) fn put_in_force(&mut self, table: &Arc<Routing>) {
         if table.version <= self.tables.version() {
             return;
         }
-        self.tables.push(table);
+        let table = self.with_policy(table);
+        self.tables.push(&table);
         let (version, routes) = (table.version, table.routes.len());
         let fields = json!({"belief": "table_in_force", "table": version, "routes": routes});
         self.write_log("table", false, &fields);
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -14,13 +14,14 @@
 
 use hornbeam_control::{ProposalId, RaftInput, Voter};
 use hornbeam_discovery::{CrashReports, HealthReports, RateReports, Registry, RegistryParams};
-use hornbeam_model::{InstanceId, Mono, RequestRate};
+use hornbeam_model::{InstanceId, Mono, RequestRate, Routing};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::control::net::{Incoming, Net};
 use hornbeam_node::journal::EventLog;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedDown, ServerClaim};
+use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{FrameKey, Message};
 use hornbeam_settings::{FleetSettings, SettingsError};
 use indexmap::IndexMap;
@@ -45,6 +46,8 @@
 /// Feed to one entry.
 struct Feed {
     info: EntryInfo,
+    /// Messages that the entry reads.
+    features: Features,
     tx: FeedSender,
     /// Rate of the callers' requests at the entry.
     demand: RequestRate,
@@ -58,6 +61,7 @@
     clock: Clock,
     key: FrameKey,
     me: InstanceId,
+    parse_table: fn(&[u8]) -> Result<Routing, String>,
     net: Net,
     events: EventLog,
     log: StructuredLog,
@@ -118,6 +122,8 @@
     pub file: PathBuf,
     /// Identifier of this controller.
     pub me: InstanceId,
+    /// Parses the document of a routing table.
+    pub parse_table: fn(&[u8]) -> Result<Routing, String>,
     /// Monotonic clock of the process.
     pub clock: Clock,
     /// Connections to other controllers.
@@ -143,6 +149,7 @@
             settings: params.settings,
             clock: params.clock,
             me: params.me,
+            parse_table: params.parse_table,
             net: params.net,
             events: params.events,
             log: params.log,
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -9,6 +9,7 @@
 use hornbeam_protocol::discovery::{
     ControllerMessage, EntryInfo, FeedChange, FeedDown, FleetStatus, LifeStage,
 };
+use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{MAX_STREAM_BYTES, Message};
 use indexmap::IndexMap;
 use serde_json::json;
@@ -210,12 +211,16 @@
     pub(super) fn on_feed_event(&mut self, event: FeedEvent) {
         let now = self.clock.now();
         match event {
-            FeedEvent::Follow(id, info, tx) => {
+            FeedEvent::Follow(id, info, features, tx) => {
                 let fields = json!({"belief": "entry_follows", "entry": info.entry, "feed": id});
                 self.write_log("entry", false, &fields);
                 self.entry_heard_at.insert(info.entry.clone(), now);
-                self.feeds.insert(id, Feed { info, tx, demand: RequestRate::default() });
+                let demand = RequestRate::default();
+                self.feeds.insert(id, Feed { info, features, tx, demand });
                 self.feeds_changed = true;
+                if features != Features::default() {
+                    self.send_to(id, &FeedDown::Features(Features::OWN));
+                }
                 let servers = FeedDown::Servers(self.registry.claims());
                 self.send_to(id, &servers);
                 let fleet_status = FeedDown::FleetStatus(self.fleet_status());
@@ -257,7 +262,8 @@
                 }
             }
             FeedEvent::FetchTable(id, have) => {
-                if let Some(update) = self.tables.update_from(have) {
+                let features = self.feeds.get(&id).map(|f| f.features).unwrap_or_default();
+                if let Some(update) = self.tables.update_from(have, features) {
                     self.send_to(id, &update);
                 }
             }
--- a/crates/hornbeam_controller/src/tables.rs
+++ b/crates/hornbeam_controller/src/tables.rs
@@ -5,6 +5,7 @@
 
 use hornbeam_model::{Routing, TableVersion};
 use hornbeam_protocol::discovery::FeedDown;
+use hornbeam_protocol::features::Features;
 
 /// Number of tables kept; an entry with an older one gets the whole table.
 const MAX_RECENT_TABLES: usize = 8;
@@ -34,10 +35,22 @@
     }
 
     /// Returns the message that updates an entry from version `have` to the latest table: a delta
-    /// if that version is kept, otherwise the whole table. `None` if the entry is up to date.
-    pub fn update_from(&self, have: TableVersion) -> Option<FeedDown> {
+    /// if that version is kept, otherwise the whole table; with the policy if the entry reads it.
+    /// `None` if the entry is up to date.
+    pub fn update_from(&self, have: TableVersion, features: Features) -> Option<FeedDown> {
         let latest = self.tables.back().filter(|t| t.version > have)?;
         let base = self.tables.iter().find(|t| t.version == have);
+        if features.includes(Features::POLICY) {
+            return Some(match base {
+                Some(base) => FeedDown::PolicyDelta {
+                    delta: Box::new(latest.delta_from(base)),
+                    policy: (latest.policy != base.policy).then(|| latest.policy.clone()),
+                },
+                None => {
+                    FeedDown::PolicyTable { table: latest.clone(), policy: latest.policy.clone() }
+                }
+            });
+        }
         Some(match base {
             Some(base) => FeedDown::TableDelta(Box::new(latest.delta_from(base))),
             None => FeedDown::Table(latest.clone()),
--- a/crates/hornbeam_entry/src/feed_connection.rs
+++ b/crates/hornbeam_entry/src/feed_connection.rs
@@ -8,6 +8,7 @@
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::socket;
 use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedDown, FeedUp};
+use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{FrameKey, MAX_STREAM_BYTES};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -108,21 +109,23 @@
         stream: &mut W,
         rx: &mut mpsc::UnboundedReceiver<FeedUp>,
     ) -> std::io::Error {
-        let mut message = FeedUp::Follow(self.me.clone());
+        let follow = FeedUp::Follow(self.me.clone());
+        let mut frame = self.key.seal_with(&follow, &Features::OWN, MAX_STREAM_BYTES);
         loop {
-            let frame = match self.key.seal(&message, MAX_STREAM_BYTES) {
+            let frame_bytes = match frame {
                 Ok(frame) => frame,
                 Err(e) => return std::io::Error::other(e),
             };
-            if let Err(e) = write_frame(stream, &frame).await {
+            if let Err(e) = write_frame(stream, &frame_bytes).await {
                 return e;
             }
             let heartbeat_interval = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS);
-            message = match tokio::time::timeout(heartbeat_interval, rx.recv()).await {
+            let message = match tokio::time::timeout(heartbeat_interval, rx.recv()).await {
                 Ok(Some(message)) => message,
                 Ok(None) => return std::io::ErrorKind::NotConnected.into(),
                 Err(_) => FeedUp::Heartbeat,
             };
+            frame = self.key.seal(&message, MAX_STREAM_BYTES);
         }
     }
 }
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -18,6 +18,7 @@
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryInfo, FeedDown, FeedUp, FleetStatus, HealthReport};
+use hornbeam_protocol::features::Features;
 use hornbeam_route::{Peer, ServerChange, ServerHealthReport};
 use hornbeam_settings::{FleetSettings, SettingsError};
 use indexmap::IndexMap;
@@ -84,6 +85,8 @@
     /// created.
     last_message: Mono,
     connected: bool,
+    /// Messages that the controller reads.
+    features: Features,
     /// True if the health reports sent last were not empty.
     reported: bool,
     /// Number of entries that follow the controller.
@@ -204,6 +207,7 @@
             task,
             last_message,
             connected: false,
+            features: Features::default(),
             reported: false,
             entries: 0,
             demand: RequestRate::default(),
@@ -274,6 +278,7 @@
         match event {
             ConnectionEvent::Connected => {
                 feed.connected = true;
+                feed.features = Features::default();
                 feed.last_message = now;
                 feed.send_crash_reports(&self.crash_reports.all(now));
                 self.log("feed", false, &json!({"belief": "feed_open", "controller": from}));
@@ -317,6 +322,21 @@
                 None => self.request_table(now, from, TableVersion(0)),
             },
             FeedDown::Table(table) => self.on_table((*table).clone()),
+            FeedDown::PolicyDelta { delta, policy } => match self.table.apply(&delta) {
+                Some(table) => {
+                    let policy = policy.unwrap_or_else(|| table.policy.clone());
+                    self.on_table(Routing { policy, ..table });
+                }
+                None => self.request_table(now, from, TableVersion(0)),
+            },
+            FeedDown::PolicyTable { table, policy } => {
+                self.on_table(Routing { policy, ..Routing::clone(&table) });
+            }
+            FeedDown::Features(features) => {
+                if let Some(feed) = self.feeds.get_mut(from) {
+                    feed.features = features;
+                }
+            }
             FeedDown::CrashReports(reports) => {
                 self.publish(FeedEvent::CrashReports(reports));
             }
--- a/crates/hornbeam_model/src/ids.rs
+++ b/crates/hornbeam_model/src/ids.rs
@@ -164,6 +164,16 @@
     ChangeId,
     "change id"
 );
+name_id!(
+    /// Name of a team of callers.
+    TeamId,
+    "team name"
+);
+name_id!(
+    /// Name of a region: availability zones that are close to each other.
+    Region,
+    "region name"
+);
 number_id!(
     /// Version of an index; a higher number is newer.
     IndexVersion,
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`rate`]: request rates
 //! - [`rate_limit`]: rates that backend servers state that they accept
 //! - [`routing`]: routing table, its validation and route lookup
+//! - [`policy`]: rules of a routing table about teams, regions and cold servers
+//! - [`team`]: teams of callers, their keys and quotas
 //! - [`search`]: request and reply bodies of backend servers
 //! - [`config`]: replicated configuration and its validation
 //! - [`change`]: configuration changes and their application
@@ -22,12 +24,14 @@
 pub mod hit;
 pub mod ids;
 pub mod patience;
+pub mod policy;
 pub mod rate;
 pub mod rate_limit;
 pub mod routing;
 pub mod search;
 pub mod server;
 pub mod shards;
+pub mod team;
 pub mod time;
 
 pub use change::{Change, ChangeError};
@@ -36,10 +40,12 @@
 pub use fingerprint::Fingerprint;
 pub use hit::Hit;
 pub use ids::{
-    AttemptId, ChangeId, IdError, Incarnation, IndexVersion, InstanceId, QueryId, RequestId,
-    Revision, RouteId, SchemaVersion, ServerId, ServiceId, ShardId, TableVersion, Zone,
+    AttemptId, ChangeId, IdError, Incarnation, IndexVersion, InstanceId, QueryId, Region,
+    RequestId, Revision, RouteId, SchemaVersion, ServerId, ServiceId, ShardId, TableVersion,
+    TeamId, Zone,
 };
 pub use patience::{Patience, PatienceWindow};
+pub use policy::{TrafficPolicy, WarmUp};
 pub use rate::RequestRate;
 pub use rate_limit::{RateReport, RateStatement};
 pub use routing::{
@@ -49,4 +55,5 @@
 pub use search::{CancelRequest, LoadReport, NotRunReply, SearchReply, SearchRequest, ShardReply};
 pub use server::{Announcement, AnnouncementError, IndexHolding, ServerState};
 pub use shards::{ShardRange, ShardRanges};
+pub use team::{KeyDigest, Team};
 pub use time::Mono;
--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -11,7 +11,8 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 
-use crate::ids::{RouteId, ServiceId, TableVersion};
+use crate::ids::{RouteId, ServiceId, TableVersion, TeamId};
+use crate::policy::TrafficPolicy;
 
 /// Error for a routing table that cannot be put in force.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
@@ -44,6 +45,14 @@
         /// Name of the route.
         route: RouteId,
     },
+    /// Two teams have the same key.
+    #[snafu(display("teams {first} and {second} have a key in common: remove it from one"))]
+    SharedKey {
+        /// Name of one team.
+        first: TeamId,
+        /// Name of the other team.
+        second: TeamId,
+    },
     /// The target of a route names no service and no shard.
     #[snafu(display("route {route} has no target: name a service, weighted services or shards"))]
     NoTarget {
@@ -195,6 +204,11 @@
     pub limits: CallerLimits,
     /// Document that the operator sent, returned when the table is read; empty at entries.
     pub document: Vec<u8>,
+    /// Rules about teams, regions and cold servers. Not part of the encoding, which builds without them
+    /// read as well: controllers derive the policy from the document, and entries receive it beside the
+    /// table.
+    #[serde(skip)]
+    pub policy: Arc<TrafficPolicy>,
 }
 
 impl Routing {
@@ -230,6 +244,10 @@
                 return Err(RoutingError::ZeroTimeout { route: name() });
             }
         }
+        if let Some((first, second)) = self.policy.teams_with_one_key() {
+            let (first, second) = (first.clone(), second.clone());
+            return Err(RoutingError::SharedKey { first, second });
+        }
         Ok(())
     }
 
@@ -249,7 +267,8 @@
         }
     }
 
-    /// Returns the table after a difference; `None` if its base is another version than this table.
+    /// Returns the table after a difference, with the policy of this one; `None` if its base is another
+    /// version than this table.
     pub fn apply(&self, delta: &RoutingDelta) -> Option<Routing> {
         if delta.base != self.version {
             return None;
@@ -268,6 +287,7 @@
             services: delta.services.clone().unwrap_or_else(|| self.services.clone()),
             limits: delta.limits.clone(),
             document: Vec::new(),
+            policy: self.policy.clone(),
         })
     }
 }
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -6,10 +6,12 @@
 
 use hornbeam_model::{
     CrashReport, Incarnation, InstanceId, RateReport, RequestRate, Routing, RoutingDelta, ServerId,
-    ServiceId, TableVersion, Zone,
+    ServiceId, TableVersion, TrafficPolicy, Zone,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::features::Features;
+
 /// Lifecycle stage of a server; within one incarnation it never goes back.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -135,12 +137,30 @@
     /// Requests that were in flight at servers that ended: all at the start of a feed, then those
     /// that change.
     CrashReports(Vec<CrashReport>),
+    /// Messages that the controller reads; the first message to an entry that has stated its own.
+    Features(Features),
+    /// Complete routing table with its policy, for entries with [`Features::POLICY`].
+    PolicyTable {
+        /// The table.
+        table: Arc<Routing>,
+        /// The policy of the same version.
+        policy: Arc<TrafficPolicy>,
+    },
+    /// Difference between the entry's routing table and the controller's, for entries with
+    /// [`Features::POLICY`].
+    PolicyDelta {
+        /// Difference of the tables.
+        delta: Box<RoutingDelta>,
+        /// Policy of the new version; `None` if it is that of the old one.
+        policy: Option<Arc<TrafficPolicy>>,
+    },
 }
 
 /// Messages of a feed from an entry to a controller.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FeedUp {
-    /// Starts the feed; the first message.
+    /// Starts the feed; the first message. It is followed by the [`Features`] of the entry, which older
+    /// builds neither send nor read.
     Follow(EntryInfo),
     /// Requests the routing table if it is later than `have`.
     FetchTable {
--- a/crates/hornbeam_protocol/src/frame.rs
+++ b/crates/hornbeam_protocol/src/frame.rs
@@ -114,6 +114,39 @@
         Ok(frame)
     }
 
+    /// Encodes a message like [`FrameKey::seal`], with an addition after it. Builds that do not know the
+    /// addition ignore it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message cannot be encoded or its frame is longer than `max`.
+    pub fn seal_with<T: Serialize, U: Serialize>(
+        &self,
+        message: &T,
+        addition: &U,
+        max: usize,
+    ) -> Result<Vec<u8>, FrameError> {
+        // A pair is encoded as both values in a row.
+        self.seal(&(message, addition), max)
+    }
+
+    /// Authenticates and decodes a frame of at most `max` bytes, and the addition after the message if
+    /// there is a valid one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error like [`FrameKey::open`].
+    pub fn open_with<T: DeserializeOwned, U: DeserializeOwned>(
+        &self,
+        frame: &[u8],
+        max: usize,
+    ) -> Result<(T, Option<U>), FrameError> {
+        let body = self.authenticate(frame, max)?;
+        let (message, rest) = postcard::take_from_bytes(body).map_err(|_| FrameError::Body)?;
+        let addition = if rest.is_empty() { None } else { postcard::from_bytes(rest).ok() };
+        Ok((message, addition))
+    }
+
     /// Authenticates and decodes a frame of at most `max` bytes.
     ///
     /// # Errors
@@ -121,6 +154,11 @@
     /// Returns an error if the length is out of range, the protocol version differs, authentication
     /// fails or the body cannot be decoded.
     pub fn open<T: DeserializeOwned>(&self, frame: &[u8], max: usize) -> Result<T, FrameError> {
+        postcard::from_bytes(self.authenticate(frame, max)?).map_err(|_| FrameError::Body)
+    }
+
+    /// Returns the body of a frame whose length, version and hash are valid.
+    fn authenticate<'a>(&self, frame: &'a [u8], max: usize) -> Result<&'a [u8], FrameError> {
         if frame.len() <= HEADER_BYTES || frame.len() > max {
             return Err(FrameError::Length { length: frame.len() });
         }
@@ -131,7 +169,7 @@
         if !constant_time_eq(&expected, &frame[1..HEADER_BYTES]) {
             return Err(FrameError::Tag);
         }
-        postcard::from_bytes(&frame[HEADER_BYTES..]).map_err(|_| FrameError::Body)
+        Ok(&frame[HEADER_BYTES..])
     }
 }
 
--- a/crates/hornbeam_protocol/src/lib.rs
+++ b/crates/hornbeam_protocol/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod control;
 pub mod discovery;
+pub mod features;
 pub mod frame;
 pub mod gather;
 pub mod message;
