Requests are assigned to the team that holds their key

Cause: keys, quotas and fair shares need the team of a request before it is admitted. Change: the engine looks the digest of a key up among the teams of its table, and refuses a request without a team on a route that is not public with 401. The front passes no key yet.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
-use hornbeam_model::{AttemptId, CrashReport, Fingerprint, Mono, QueryId, RateReport};
+use hornbeam_model::{AttemptId, CrashReport, Fingerprint, KeyDigest, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{
@@ -47,6 +47,8 @@
 pub struct ReceivedRequest {
     /// The request as it is forwarded.
     pub forwarded: ForwardedRequest,
+    /// Digest of the key that the caller sent.
+    pub credential: Option<KeyDigest>,
     /// Host that the request names.
     pub host: SmolStr,
     /// Path without the query.
@@ -214,13 +216,23 @@
         self: &Rc<Self>,
         received: ReceivedRequest,
     ) -> (QueryId, oneshot::Receiver<Reply>) {
-        let ReceivedRequest { forwarded, host, path, patience, opened_connection } = received;
+        let ReceivedRequest { forwarded, credential, host, path, patience, opened_connection } =
+            received;
         let key = self.next_key();
         let (tx, rx) = oneshot::channel();
         let (id, fingerprint) = (forwarded.id.clone(), forwarded.fingerprint);
         self.callers.borrow_mut().insert(key, tx);
         self.requests.borrow_mut().insert(key, Rc::new(forwarded));
-        self.step(Input::Request { key, id, fingerprint, host, path, patience, opened_connection });
+        self.step(Input::Request {
+            key,
+            id,
+            fingerprint,
+            credential,
+            host,
+            path,
+            patience,
+            opened_connection,
+        });
         (key, rx)
     }
 
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -196,7 +196,7 @@
     let headers = end_to_end(head.headers);
     let head = request_head(&core.dialect, &head.method, &target, &headers, &body);
     let forwarded = ForwardedRequest { id, fingerprint, head, body };
-    Ok(ReceivedRequest { forwarded, host, path, patience, opened_connection })
+    Ok(ReceivedRequest { forwarded, credential: None, host, path, patience, opened_connection })
 }
 
 async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Response<Full<Bytes>>> {
@@ -257,6 +257,9 @@
             "this entry has no routing table yet: retry at another entry",
         ),
         RefusalKind::NoRoute => (StatusCode::NOT_FOUND, "no route matches the host and path"),
+        RefusalKind::UnknownKey => {
+            (StatusCode::UNAUTHORIZED, "the key is missing or belongs to no team")
+        }
         RefusalKind::NoServer => {
             (StatusCode::SERVICE_UNAVAILABLE, "too few backend servers are available")
         }
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -105,6 +105,7 @@
     let forwarded = ForwardedRequest { id: id.into(), fingerprint, head: head.into(), body };
     let received = ReceivedRequest {
         forwarded,
+        credential: None,
         host: "plots.example".into(),
         path: path.into(),
         patience: Some(Duration::from_secs(1)),
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{Fingerprint, Mono, QueryId, Route, ServiceId, Target};
+use hornbeam_model::{Fingerprint, KeyDigest, Mono, QueryId, Route, ServiceId, Target, TeamId};
 use rand::Rng;
 use smol_str::SmolStr;
 
-use super::{Completion, Engine, Output};
+use super::{Completion, Engine, Output, teams};
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, answer_by};
 
@@ -35,6 +35,9 @@
     pub key: QueryId,
     pub id: SmolStr,
     pub fingerprint: Fingerprint,
+    pub credential: Option<KeyDigest>,
+    /// Team of the caller; set once the route is known.
+    pub team: Option<TeamId>,
     pub host: SmolStr,
     pub path: SmolStr,
     pub arrived: Mono,
@@ -70,7 +73,7 @@
 }
 
 impl Engine {
-    pub(super) fn on_request(&mut self, now: Mono, arrival: Arrival, out: &mut Vec<Output>) {
+    pub(super) fn on_request(&mut self, now: Mono, mut arrival: Arrival, out: &mut Vec<Output>) {
         let Some(table) = self.table.clone() else {
             return self.await_table(now, arrival, out);
         };
@@ -78,6 +81,12 @@
             self.demand.record(now, 1.0);
             return self.refuse_on_arrival(now, arrival, None, RefusalKind::NoRoute, None, out);
         };
+        arrival.team = self.team_keys.team(arrival.credential).cloned();
+        if arrival.team.is_none() && teams::needs_key(&table, &route) {
+            self.demand.record(now, 1.0);
+            let kind = RefusalKind::UnknownKey;
+            return self.refuse_on_arrival(now, arrival, Some(&route), kind, None, out);
+        }
         let services = self.services_for(&route);
         let delegates = self.should_delegate(&route, &services);
         let may_need_relay = self.may_need_relay();
@@ -116,6 +125,7 @@
             answer_by,
             min_shards,
             fingerprint: arrival.fingerprint,
+            team: arrival.team,
             ..RunningRequest::new(arrival.key, arrival.id, route, services)
         };
         let key = running.key;
@@ -254,13 +264,14 @@
     }
 
     /// Returns the retry delay for a caller: the expected wait with jitter. `None` if the request
-    /// may have run, and if no route matches, because a retry then fails in the same way.
+    /// may have run, and if no route matches or the key is unknown, because a retry then fails in the same
+    /// way.
     pub(super) fn retry_after(
         &mut self,
         kind: RefusalKind,
         wait: Option<Duration>,
     ) -> Option<Duration> {
-        if !kind.has_not_run() || kind == RefusalKind::NoRoute {
+        if !kind.has_not_run() || matches!(kind, RefusalKind::NoRoute | RefusalKind::UnknownKey) {
             return None;
         }
         // An isolated entry closes the connection, and other entries serve the caller at once.
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, CrashReport, Fingerprint, Incarnation, InstanceId, QueryId, RateReport, RequestRate,
-    Route, Routing, ServerId, ServiceId, Zone,
+    AttemptId, CrashReport, Fingerprint, Incarnation, InstanceId, KeyDigest, QueryId, RateReport,
+    RequestRate, Route, Routing, ServerId, ServiceId, Zone,
 };
 use smol_str::SmolStr;
 
@@ -88,6 +88,8 @@
         id: SmolStr,
         /// Recognizes the request when the caller repeats it.
         fingerprint: Fingerprint,
+        /// Digest of the key that the caller sent.
+        credential: Option<KeyDigest>,
         /// Host that the request names.
         host: SmolStr,
         /// Path without the query string.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! - [`relaying`]: shards and requests that only other entries can reach
 //! - [`gathering`]: shard groups gathered for other entries
 //! - [`startup`]: requests that arrive before the first routing table
+//! - [`teams`]: teams of callers and their keys
 //! - [`servers`]: changes of servers, routing tables and the number of entries
 
 mod admission;
@@ -31,6 +32,7 @@
 mod relaying;
 mod servers;
 mod startup;
+mod teams;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -109,6 +111,7 @@
     /// `None` until the first routing table is received.
     table: Option<Arc<Routing>>,
     index: RouteIndex,
+    team_keys: teams::TeamKeys,
     splitters: HashMap<RouteId, Splitter>,
     latencies: HashMap<RouteId, LatencyWindow>,
     /// Positions are stable; a service that is no longer in the table keeps its position.
@@ -162,6 +165,7 @@
             rng: SmallRng::seed_from_u64(params.seed),
             table: None,
             index: RouteIndex::default(),
+            team_keys: teams::TeamKeys::default(),
             splitters: HashMap::new(),
             latencies: HashMap::new(),
             services: IndexMap::new(),
@@ -196,12 +200,23 @@
     /// Handles one input and appends the resulting outputs.
     pub fn step(&mut self, now: Mono, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Request { key, id, fingerprint, host, path, patience, opened_connection } => {
+            Input::Request {
+                key,
+                id,
+                fingerprint,
+                credential,
+                host,
+                path,
+                patience,
+                opened_connection,
+            } => {
                 let arrived = now;
                 let arrival = admission::Arrival {
                     key,
                     id,
                     fingerprint,
+                    credential,
+                    team: None,
                     host,
                     path,
                     arrived,
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -154,6 +154,7 @@
             return;
         }
         self.index = hornbeam_model::RouteIndex::new(&table);
+        self.team_keys = super::teams::TeamKeys::new(&table);
         for (name, service) in &table.services {
             let position = self.service_position(name);
             self.services[position].max_connections = service.max_connections;
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{AttemptId, Fingerprint, Mono, QueryId, Route, TableVersion, Target};
+use hornbeam_model::{AttemptId, Fingerprint, Mono, QueryId, Route, TableVersion, Target, TeamId};
 use indexmap::IndexSet;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -23,6 +23,8 @@
     NoTable,
     /// No route matches the host and path; the request has not run.
     NoRoute,
+    /// The key is missing or belongs to no team; the request has not run.
+    UnknownKey,
     /// Too few servers are usable; the request has not run.
     NoServer,
     /// The expected wait is too long or the entry is at its limit; the request has not run.
@@ -42,7 +44,12 @@
     pub fn has_not_run(self) -> bool {
         matches!(
             self,
-            Self::NoTable | Self::NoRoute | Self::NoServer | Self::Overloaded | Self::Quarantined
+            Self::NoTable
+                | Self::NoRoute
+                | Self::UnknownKey
+                | Self::NoServer
+                | Self::Overloaded
+                | Self::Quarantined
         )
     }
 }
@@ -192,6 +199,8 @@
     pub id: SmolStr,
     /// Recognizes the request when the caller repeats it.
     pub fingerprint: Fingerprint,
+    /// Team of the caller; `None` without teams and for gathered groups.
+    pub team: Option<TeamId>,
     /// Matched route, from the table version in force on arrival.
     pub route: Arc<Route>,
     /// Table version of the route; the whole request uses this version.
@@ -233,6 +242,7 @@
             key,
             id,
             fingerprint: Fingerprint::default(),
+            team: None,
             route,
             table: TableVersion(0),
             arrived: Mono::default(),
--- a/crates/hornbeam_route/tests/common/harness.rs
+++ b/crates/hornbeam_route/tests/common/harness.rs
@@ -89,6 +89,7 @@
                 key: QueryId(key),
                 id: format!("r{key}").into(),
                 fingerprint: Fingerprint { caller: 0, content: key, query: Some(0), service: None },
+                credential: None,
                 host: "plots.example".into(),
                 path: "/lookup/1".into(),
                 patience,
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -682,6 +682,7 @@
             key,
             id: format!("r{key}").into(),
             fingerprint: self.fingerprint(key),
+            credential: None,
             host: "plots.example".into(),
             path: self.paths[route].as_str().into(),
             patience,
