--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hornbeam_control::{ProposalId, RaftInput, Voter};
@@ -20,7 +21,9 @@
 use hornbeam_node::journal::EventLog;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
-use hornbeam_protocol::discovery::{EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedDown, ServerClaim};
+use hornbeam_protocol::discovery::{
+    EntryInfo, FEED_HEARTBEAT_INTERVAL_MS, FeedDown, FleetStatus, ServerClaim,
+};
 use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{FrameKey, Message};
 use hornbeam_settings::{FleetSettings, SettingsError};
@@ -51,6 +54,8 @@
     tx: FeedSender,
     /// Rate of the callers' requests at the entry.
     demand: RequestRate,
+    /// Fleet status that was sent last, without the demand.
+    sent_status: Option<Rc<FleetStatus>>,
 }
 
 /// All state of a controller.
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -138,9 +138,23 @@
         }
     }
 
+    /// Sends the fleet status to all entries. An entry that has it already and reads the short message
+    /// gets the demand only, which is what mostly changes.
     pub(super) fn publish_fleet_status(&mut self) {
-        let fleet_status = FeedDown::FleetStatus(self.fleet_status());
-        self.broadcast(&fleet_status);
+        let status = self.fleet_status();
+        let short = self.seal(&FeedDown::FleetDemand(status.demand));
+        let whole = self.seal(&FeedDown::FleetStatus(status.clone()));
+        let (Some(short), Some(whole)) = (short, whole) else { return };
+        let known = Rc::new(FleetStatus { demand: RequestRate::default(), ..status });
+        // A feed with a full queue is dropped; the entry opens a new one and gets the whole state.
+        self.feeds.retain(|_, f| {
+            let knows = f.sent_status.as_ref().is_some_and(|s| *s == known);
+            if knows && f.features.includes(Features::FLEET_DEMAND) {
+                return f.tx.try_send(short.clone()).is_ok();
+            }
+            f.sent_status = Some(known.clone());
+            f.tx.try_send(whole.clone()).is_ok()
+        });
     }
 
     /// Sends the entries of each zone the list of entries in their zone, with some of each other zone,
@@ -216,7 +230,7 @@
                 self.write_log("entry", false, &fields);
                 self.entry_heard_at.insert(info.entry.clone(), now);
                 let demand = RequestRate::default();
-                self.feeds.insert(id, Feed { info, features, tx, demand });
+                self.feeds.insert(id, Feed { info, features, tx, demand, sent_status: None });
                 self.feeds_changed = true;
                 if features != Features::default() {
                     self.send_to(id, &FeedDown::Features(Features::OWN));
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -89,10 +89,8 @@
     features: Features,
     /// True if the health reports sent last were not empty.
     reported: bool,
-    /// Number of entries that follow the controller.
-    entries: u32,
-    /// Rate of the callers' requests at these entries together.
-    demand: RequestRate,
+    /// What the controller reported about the fleet.
+    status: FleetStatus,
     /// Entries that follow the controller: all of this zone, this one included, and some of each other
     /// zone.
     entry_infos: Vec<EntryInfo>,
@@ -209,8 +207,7 @@
             connected: false,
             features: Features::default(),
             reported: false,
-            entries: 0,
-            demand: RequestRate::default(),
+            status: FleetStatus::default(),
             entry_infos: Vec::new(),
         };
         self.feeds.insert(controller.clone(), feed);
@@ -316,7 +313,13 @@
                 let updates = self.directory.update_feed(now, from, changes);
                 self.publish_servers(updates);
             }
-            FeedDown::FleetStatus(status) => self.on_fleet_status(now, from, &status),
+            FeedDown::FleetStatus(status) => self.on_fleet_status(now, from, status),
+            FeedDown::FleetDemand(demand) => {
+                let status = self.feeds.get_mut(from).map(|f| std::mem::take(&mut f.status));
+                if let Some(status) = status {
+                    self.on_fleet_status(now, from, FleetStatus { demand, ..status });
+                }
+            }
             FeedDown::TableDelta(delta) => match self.table.apply(&delta) {
                 Some(table) => self.on_table(table),
                 None => self.request_table(now, from, TableVersion(0)),
@@ -397,23 +400,23 @@
         self.publish(FeedEvent::Peers(peers.collect()));
     }
 
-    fn on_fleet_status(&mut self, now: Mono, from: &InstanceId, status: &FleetStatus) {
+    fn on_fleet_status(&mut self, now: Mono, from: &InstanceId, status: FleetStatus) {
         for controller in &status.controllers {
             self.follow(controller);
         }
+        let table = status.table;
         if let Some(feed) = self.feeds.get_mut(from) {
-            feed.entries = status.entries;
-            feed.demand = status.demand;
+            feed.status = status;
         }
-        let entries = self.feeds.values().map(|f| f.entries).max().unwrap_or(0);
+        let entries = self.feeds.values().map(|f| f.status.entries).max().unwrap_or(0);
         if entries > 0 {
             self.publish(FeedEvent::EntryCount(entries));
         }
         // Too high a rate, as a lost feed may have reported, only lowers this entry's part.
-        let demand = self.feeds.values().map(|f| f.demand).max().unwrap_or_default();
+        let demand = self.feeds.values().map(|f| f.status.demand).max().unwrap_or_default();
         self.publish(FeedEvent::FleetDemand(demand));
         let due = self.table_requested_at.is_none_or(|at| now.since(at) >= TABLE_REQUEST_TIMEOUT);
-        if status.table > self.table.version && due {
+        if table > self.table.version && due {
             self.request_table(now, from, self.table.version);
         }
     }
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -154,6 +154,9 @@
         /// Policy of the new version; `None` if it is that of the old one.
         policy: Option<Arc<TrafficPolicy>>,
     },
+    /// The fleet status is as it was sent last but for this demand, for entries with
+    /// [`Features::FLEET_DEMAND`].
+    FleetDemand(RequestRate),
 }
 
 /// Messages of a feed from an entry to a controller.
--- a/crates/hornbeam_protocol/src/features.rs
+++ b/crates/hornbeam_protocol/src/features.rs
@@ -18,8 +18,10 @@
     pub const ZONE_ORDERS: Self = Self(1 << 2);
     /// Load of the servers of a zone.
     pub const ZONE_LOADS: Self = Self(1 << 3);
+    /// [`FeedDown::FleetDemand`](crate::discovery::FeedDown::FleetDemand).
+    pub const FLEET_DEMAND: Self = Self(1 << 4);
     /// All messages that this build reads.
-    pub const OWN: Self = Self(Self::POLICY.0);
+    pub const OWN: Self = Self(Self::POLICY.0 | Self::FLEET_DEMAND.0);
 
     /// Returns true if this set includes all of `other`.
     pub fn includes(self, other: Self) -> bool {
