Errors and debug output of routing tables quote no keys

Cause: the text of a parse error may quote a value of the document, and the debug output of a table included the document; both may contain a key. Change: parse errors of tables name the kind of problem, line and column, and missing fields only. The debug output of a table leaves the document out.

--- a/crates/hornbeam_controller/src/dialect.rs
+++ b/crates/hornbeam_controller/src/dialect.rs
@@ -3,11 +3,13 @@
 //! [`Dialect::default`] is the native encoding, see docs/API.md; a platform with another one
 //! supplies its own functions.
 
+use std::fmt;
 use std::sync::Arc;
 
 use hornbeam_model::{Incarnation, Routing, ServerId, TrafficPolicy};
 use hornbeam_protocol::discovery::ServerClaim;
 use hyper::Method;
+use serde_json::error::Category;
 
 /// An API call to the controller.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -81,16 +83,38 @@
     serde_json::from_slice::<Departure>(body).ok().map(|d| d.incarnation)
 }
 
+/// Text about a routing table that cannot be parsed. It quotes nothing of the document, which contains
+/// keys, but the names of missing fields.
+#[derive(Clone, Copy, Debug)]
+pub struct TableFault<'a>(pub &'a serde_json::Error);
+
+impl fmt::Display for TableFault<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.to_string();
+        if text.starts_with("missing field `") {
+            return f.write_str(&text);
+        }
+        let problem = match self.0.classify() {
+            Category::Data => "a value of the wrong type or out of range",
+            Category::Eof => "it ends early",
+            Category::Io | Category::Syntax => "invalid JSON",
+        };
+        write!(f, "{problem} at line {} column {}", self.0.line(), self.0.column())
+    }
+}
+
 fn parse_default_table(body: &[u8]) -> Result<Routing, String> {
-    let mut table: Routing = serde_json::from_slice(body)
-        .map_err(|e| format!("the routing table cannot be parsed ({e}): see docs/API.md"))?;
+    let mut table: Routing = serde_json::from_slice(body).map_err(|e| {
+        format!("the routing table cannot be parsed ({}): see docs/API.md", TableFault(&e))
+    })?;
     #[derive(serde::Deserialize)]
     struct Rules {
         #[serde(default)]
         policy: Arc<TrafficPolicy>,
     }
-    let rules: Rules = serde_json::from_slice(body)
-        .map_err(|e| format!("the policy of the table cannot be parsed ({e}): see docs/API.md"))?;
+    let rules: Rules = serde_json::from_slice(body).map_err(|e| {
+        format!("the policy of the table cannot be parsed ({}): see docs/API.md", TableFault(&e))
+    })?;
     table.document = body.to_vec();
     table.policy = rules.policy;
     Ok(table)
--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -3,6 +3,7 @@
 //! A routing table is always replaced as a whole; the highest version is in force.
 
 use std::collections::HashSet;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -191,8 +192,8 @@
     }
 }
 
-/// Routing table of one version.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+/// Routing table of one version. Its `Debug` output leaves out the document, which contains keys.
+#[derive(Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Routing {
     /// Version of the table; the highest one is in force, 0 means that there is no table.
     pub version: TableVersion,
@@ -211,6 +212,18 @@
     pub policy: Arc<TrafficPolicy>,
 }
 
+impl fmt::Debug for Routing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Routing")
+            .field("version", &self.version)
+            .field("routes", &self.routes)
+            .field("services", &self.services)
+            .field("limits", &self.limits)
+            .field("policy", &self.policy)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Routing {
     /// Validates targets, weights and timeouts, and that no two routes match the same requests.
     ///
