Entries check the keys of teams and state the team to servers

Cause: the engine knew teams, but no key reached it, and revoked keys did not stop what was queued. Change: the front reads the key as a digest and removes it and the caller's team field if the table has teams; a request before the first table keeps both aside until the table shows whether they pass. The engine states the team before the first attempt, so groups and relays carry it too, and it goes into the fingerprint. A restarted entry accepts keys once a majority has stated no later table.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -8,14 +8,13 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
-use hornbeam_model::{AttemptId, CrashReport, Fingerprint, KeyDigest, Mono, QueryId, RateReport};
+use hornbeam_model::{AttemptId, CrashReport, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{
     Attempt, Completion, Decision, Engine, Input, Output, Refusal, merge_records,
 };
 use serde_json::json;
-use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
@@ -23,42 +22,13 @@
 use crate::dialect::Dialect;
 use crate::group_exchange::GroupExchange;
 use crate::metrics::Metrics;
+pub use crate::request::{ForwardedRequest, ReceivedRequest};
 use crate::response::RawResponse;
+use crate::team_fields::SetAside;
 
 /// Longest sleep of the timer task.
 const MAX_TIMER_SLEEP: Duration = Duration::from_millis(500);
 
-/// A request as it is forwarded to backend servers and other entries.
-#[derive(Debug)]
-pub struct ForwardedRequest {
-    /// Request id that the caller assigned.
-    pub id: SmolStr,
-    /// Recognizes the request when the caller repeats it.
-    pub fingerprint: Fingerprint,
-    /// Request line and header fields, without the fields that each attempt adds and without the
-    /// empty line.
-    pub head: Vec<u8>,
-    /// Complete body.
-    pub body: Bytes,
-}
-
-/// A request as it was read from a caller's connection.
-#[derive(Debug)]
-pub struct ReceivedRequest {
-    /// The request as it is forwarded.
-    pub forwarded: ForwardedRequest,
-    /// Digest of the key that the caller sent.
-    pub credential: Option<KeyDigest>,
-    /// Host that the request names.
-    pub host: SmolStr,
-    /// Path without the query.
-    pub path: SmolStr,
-    /// How long the caller is willing to wait, if it states that.
-    pub patience: Option<Duration>,
-    /// True if it is the first request on its connection.
-    pub opened_connection: bool,
-}
-
 /// The response that a caller gets.
 #[derive(Debug)]
 pub enum Reply {
@@ -113,6 +83,8 @@
     pub(crate) draining: Cell<bool>,
     callers: RefCell<HashMap<QueryId, oneshot::Sender<Reply>>>,
     pub(crate) requests: RefCell<HashMap<QueryId, Rc<ForwardedRequest>>>,
+    /// Header fields of requests that arrived before the first routing table.
+    pub(crate) set_aside: RefCell<HashMap<QueryId, SetAside>>,
     /// Results that the engine has neither used nor discarded.
     pub(crate) results: RefCell<HashMap<AttemptId, AttemptResult>>,
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
@@ -145,6 +117,7 @@
             draining: Cell::new(false),
             callers: RefCell::default(),
             requests: RefCell::default(),
+            set_aside: RefCell::default(),
             results: RefCell::default(),
             attempts: RefCell::default(),
             next_key: Cell::new(1),
@@ -216,13 +189,24 @@
         self: &Rc<Self>,
         received: ReceivedRequest,
     ) -> (QueryId, oneshot::Receiver<Reply>) {
-        let ReceivedRequest { forwarded, credential, host, path, patience, opened_connection } =
-            received;
+        let ReceivedRequest {
+            forwarded,
+            credential,
+            set_aside,
+            host,
+            path,
+            patience,
+            opened_connection,
+            ..
+        } = received;
         let key = self.next_key();
         let (tx, rx) = oneshot::channel();
         let (id, fingerprint) = (forwarded.id.clone(), forwarded.fingerprint);
         self.callers.borrow_mut().insert(key, tx);
         self.requests.borrow_mut().insert(key, Rc::new(forwarded));
+        if !set_aside.is_empty() {
+            self.set_aside.borrow_mut().insert(key, set_aside);
+        }
         self.step(Input::Request {
             key,
             id,
@@ -240,6 +224,7 @@
     pub fn on_caller_gone(self: &Rc<Self>, key: QueryId) {
         if self.callers.borrow_mut().remove(&key).is_some() {
             self.requests.borrow_mut().remove(&key);
+            self.set_aside.borrow_mut().remove(&key);
             self.step(Input::CallerGone(key));
         }
     }
@@ -286,6 +271,7 @@
     fn execute(self: &Rc<Self>, output: Output) {
         match output {
             Output::SendAttempt(attempt) => self.send(attempt),
+            Output::SetTeamField { request, field } => self.set_team_field(request, &field),
             Output::Abort(attempt) => {
                 if let Some(task) = self.attempts.borrow_mut().remove(&attempt) {
                     task.abort();
@@ -361,6 +347,7 @@
 
     fn complete(&self, request: QueryId, completion: Completion) {
         self.requests.borrow_mut().remove(&request);
+        self.set_aside.borrow_mut().remove(&request);
         let mut results = self.results.borrow_mut();
         let reply = match completion {
             Completion::Forward(attempt) => match results.remove(&attempt) {
@@ -409,6 +396,7 @@
         let kind = match decision {
             Decision::Admitted { .. } => "admitted",
             Decision::Sent { kind, .. } => kind.label(),
+            Decision::KeyRevoked { .. } => "key_revoked",
             Decision::HedgeDenied { .. } => "hedge_denied",
             Decision::AttemptFailed { .. } => "attempt_failed",
             Decision::Answered { took_ms, missing, .. } => {
--- a/crates/hornbeam_entry/src/dialect.rs
+++ b/crates/hornbeam_entry/src/dialect.rs
@@ -12,6 +12,11 @@
     pub request_id: HeaderName,
     /// Header with the remaining time in milliseconds, in requests from callers and to servers.
     pub deadline_ms: HeaderName,
+    /// Header with the key of a team, in requests from callers; it is never forwarded if the routing
+    /// table has teams.
+    pub key: HeaderName,
+    /// Header with the name of the team that holds the key, in requests to servers.
+    pub team: HeaderName,
     /// Header that names the server that the request is for; any other server rejects the request.
     pub expected_server: HeaderName,
     /// Header by which a server states that it did not execute the request.
@@ -36,6 +41,8 @@
         Self {
             request_id: HeaderName::from_static("hornbeam-request-id"),
             deadline_ms: HeaderName::from_static("hornbeam-deadline-ms"),
+            key: HeaderName::from_static("hornbeam-key"),
+            team: HeaderName::from_static("hornbeam-team"),
             expected_server: HeaderName::from_static("hornbeam-expected-server"),
             not_run: HeaderName::from_static("hornbeam-not-run"),
             leaving: HeaderName::from_static("hornbeam-leaving"),
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -4,6 +4,8 @@
 //! part of the servers. The seeds come from the settings, the others from the controllers
 //! themselves.
 
+mod pause;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -19,14 +21,16 @@
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryInfo, FeedDown, FeedUp, FleetStatus, HealthReport};
 use hornbeam_protocol::features::Features;
-use hornbeam_route::{Peer, ServerChange, ServerHealthReport};
+use hornbeam_route::{ControllerContact, Peer, ServerChange, ServerHealthReport};
 use hornbeam_settings::{FleetSettings, SettingsError};
 use indexmap::IndexMap;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
+use crate::contact::majority_at;
 use crate::feed_connection::{ConnectionEvent, Subscription};
+pub use crate::feed_event::{EntryReport, FeedEvent};
 
 /// Interval of the checks for expired claims, lost controllers, suspension and changed settings.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -41,29 +45,6 @@
 /// Maximum number of crashed runs in one message.
 const MAX_CRASH_REPORTS: usize = 256;
 
-/// An update for the traffic thread.
-#[derive(Debug)]
-pub enum FeedEvent {
-    /// Servers became usable, changed or became unusable.
-    Servers(Vec<ServerChange>),
-    /// A new routing table is in force.
-    Table(Arc<Routing>),
-    /// Number of entries that share the retry budgets and the connections to servers.
-    EntryCount(u32),
-    /// Number of fresh and known feeds.
-    FeedCounts(FeedCounts),
-    /// Rate of the callers' requests at all entries together.
-    FleetDemand(RequestRate),
-    /// Health reports of other entries, summarized by a controller.
-    PeerReports(Vec<ServerHealthReport>),
-    /// Requests that were in flight at servers that ended.
-    CrashReports(Vec<CrashReport>),
-    /// Rates that servers state, summarized by a controller.
-    RateReports(Vec<RateReport>),
-    /// All other entries of the same availability zone, and some of each other one.
-    Peers(Vec<Peer>),
-}
-
 /// Parameters of [`run`].
 pub struct FeedParams {
     /// Settings of the entry.
@@ -93,6 +74,8 @@
     entries: u32,
     /// Rate of the callers' requests at these entries together.
     demand: RequestRate,
+    /// When the controller last stated its table version.
+    stated_at: Option<Mono>,
     /// Entries that follow the controller: all of this zone, this one included, and some of each other
     /// zone.
     entry_infos: Vec<EntryInfo>,
@@ -120,26 +103,17 @@
     crash_reports: CrashReports,
     /// Counts that were published last.
     feed_counts: FeedCounts,
+    /// Latest table version that a controller has stated.
+    announced: TableVersion,
     /// When the latest table was requested, while it has not arrived.
     table_requested_at: Option<Mono>,
     events: mpsc::UnboundedSender<(InstanceId, ConnectionEvent)>,
     suspension: SuspensionWatch,
+    /// When the control thread last ran, to detect that the process was paused.
+    ran_at: Mono,
     watch: SettingsWatch,
 }
 
-/// What an entry reports about itself and about the servers that it sends to.
-#[derive(Debug)]
-pub struct EntryReport {
-    /// Rate of the callers' requests.
-    pub demand: RequestRate,
-    /// Servers that the entry found unhealthy; an empty list withdraws the previous one.
-    pub health: Vec<HealthReport>,
-    /// Rates that servers state, with the demand at the entry.
-    pub rates: Vec<RateReport>,
-    /// Requests that were in flight at servers that ended; adds to the previous reports.
-    pub crashes: Vec<CrashReport>,
-}
-
 /// Follows the controllers until the traffic thread has ended. Each message of `reload` causes the
 /// settings file to be read, and each of `reports` is sent to all connected controllers.
 pub async fn run(
@@ -156,9 +130,11 @@
         table: Arc::new(Routing::default()),
         crash_reports: CrashReports::default(),
         feed_counts: FeedCounts::default(),
+        announced: TableVersion(0),
         table_requested_at: None,
         events,
         suspension: SuspensionWatch::default(),
+        ran_at: params.clock.now(),
         watch: SettingsWatch::new(params.file.clone()),
         params,
     };
@@ -211,6 +187,7 @@
             reported: false,
             entries: 0,
             demand: RequestRate::default(),
+            stated_at: None,
             entry_infos: Vec::new(),
         };
         self.feeds.insert(controller.clone(), feed);
@@ -274,6 +251,7 @@
 
     fn on_connection_event(&mut self, from: &InstanceId, event: ConnectionEvent) {
         let now = self.params.clock.now();
+        self.check_pause(now);
         let Some(feed) = self.feeds.get_mut(from) else { return };
         match event {
             ConnectionEvent::Connected => {
@@ -292,6 +270,8 @@
                     self.log("feed_lost", true, &fields);
                 }
             }
+            // Read before the feeds were reopened, and outdated.
+            ConnectionEvent::Message(_) if !feed.connected => {}
             ConnectionEvent::Message(message) => {
                 feed.last_message = now;
                 self.directory.mark_feed_active(now, from);
@@ -404,6 +384,11 @@
         if let Some(feed) = self.feeds.get_mut(from) {
             feed.entries = status.entries;
             feed.demand = status.demand;
+            feed.stated_at = Some(now);
+        }
+        if status.table > self.announced {
+            self.announced = status.table;
+            self.publish_contact();
         }
         let entries = self.feeds.values().map(|f| f.entries).max().unwrap_or(0);
         if entries > 0 {
@@ -418,6 +403,15 @@
         }
     }
 
+    /// Tells the traffic thread how current its table is.
+    fn publish_contact(&self) {
+        self.publish(FeedEvent::Contact(ControllerContact {
+            announced: self.announced,
+            majority_at: majority_at(self.feeds.values().map(|f| f.stated_at)),
+            strict_window: self.params.settings.revocation.strict_window(),
+        }));
+    }
+
     fn publish_feed_counts(&mut self, now: Mono) {
         self.feed_counts = self.directory.feed_counts(now, self.feeds.len());
         self.publish(FeedEvent::FeedCounts(self.feed_counts));
@@ -446,6 +440,7 @@
         let updates = self.directory.expire(now);
         self.publish_servers(updates);
         self.check_suspension(now);
+        self.check_pause(now);
         let seeds = self.params.settings.seed_names();
         self.feeds.retain(|name, feed| {
             let keep = seeds.contains(name) || now.since(feed.last_message) < CONTROLLER_TTL;
@@ -455,26 +450,12 @@
             keep
         });
         self.publish_feed_counts(now);
+        self.publish_contact();
         if let Some(settings) = self.watch.poll(now) {
             self.apply_settings(settings);
         }
     }
 
-    /// Reopens every feed after a suspension of the machine, since the state received before is
-    /// outdated.
-    fn check_suspension(&mut self, now: Mono) {
-        let Some(duration) = self.suspension.poll() else { return };
-        let fields = json!({"belief": "suspended", "for_ms": duration.as_millis() as u64});
-        self.log("suspended", true, &fields);
-        for (_, feed) in std::mem::take(&mut self.feeds) {
-            feed.task.abort();
-        }
-        self.table_requested_at = None;
-        self.follow_seeds();
-        let updates = self.directory.expire(now);
-        self.publish_servers(updates);
-    }
-
     /// Applies changed settings; only the seeds can change while the program runs.
     fn apply_settings(&mut self, settings: Result<FleetSettings, SettingsError>) {
         match settings {
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -23,6 +23,7 @@
 
 use crate::backends::{end_to_end, request_head};
 use crate::core::{Core, ForwardedRequest, ReceivedRequest, Reply};
+use crate::team_fields;
 
 /// Maximum number of open caller connections.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -156,7 +157,7 @@
     req: Request<Incoming>,
     opened_connection: bool,
 ) -> Result<ReceivedRequest, Response<Full<Bytes>>> {
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
     let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
     let host = head.uri.host().or_else(|| text(&header::HOST)).map(SmolStr::new);
     let Some(host) = host else {
@@ -193,10 +194,22 @@
         head.headers.get(header::AUTHORIZATION).map_or(&b""[..], HeaderValue::as_bytes);
     let (method, query) = (head.method.as_str(), head.uri.query().unwrap_or_default());
     let fingerprint = Fingerprint::new(credentials, method, &host, &path, query).with_body(&body);
+    // The engine checks the key in the same step, so the table is the same.
+    let (credential, set_aside) = core.with_engine(|e| {
+        team_fields::take(&core.dialect, &mut head.headers, e.table().map(AsRef::as_ref))
+    });
     let headers = end_to_end(head.headers);
     let head = request_head(&core.dialect, &head.method, &target, &headers, &body);
     let forwarded = ForwardedRequest { id, fingerprint, head, body };
-    Ok(ReceivedRequest { forwarded, credential: None, host, path, patience, opened_connection })
+    Ok(ReceivedRequest {
+        forwarded,
+        credential,
+        set_aside,
+        host,
+        path,
+        patience,
+        opened_connection,
+    })
 }
 
 async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Response<Full<Bytes>>> {
@@ -260,6 +273,10 @@
         RefusalKind::UnknownKey => {
             (StatusCode::UNAUTHORIZED, "the key is missing or belongs to no team")
         }
+        RefusalKind::Unverified => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this entry does not know which keys are in force: retry at another entry",
+        ),
         RefusalKind::NoServer => {
             (StatusCode::SERVICE_UNAVAILABLE, "too few backend servers are available")
         }
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! - [`dialect`]: names of headers and paths that an entry uses with callers and servers
 //! - [`core`]: runs the routing engine and executes its outputs
+//! - [`request`]: requests as they are read and forwarded
+//! - `team_fields`: header fields about teams
 //! - [`front`]: HTTP server for callers' connections
 //! - [`response`]: reads a backend server's response
 //! - [`backends`]: connections to backend servers, attempts on them
@@ -13,22 +15,28 @@
 //! - [`group_exchange`]: exchange of shard groups between entries
 //! - [`peer_connection`]: a connection between two entries that carries messages
 //! - [`feed_connection`]: the connection to one controller
+//! - [`feed_event`]: messages between the control thread and the traffic thread
+//! - `contact`: since when a majority of the controllers has stated its table version
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - [`metrics`]: Prometheus metrics
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
+mod contact;
 pub mod core;
 pub mod dialect;
 pub mod feed_connection;
+pub mod feed_event;
 pub mod feeds;
 pub mod front;
 pub mod group_exchange;
 pub mod groups;
 pub mod metrics;
 pub mod peer_connection;
+pub mod request;
 pub mod response;
 pub mod run;
+mod team_fields;
 
 pub use dialect::Dialect;
 pub use run::run;
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -13,7 +13,9 @@
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::HealthReport;
-use hornbeam_route::{Engine, EngineParams, Input, RetryBudgetParams, ServerChange};
+use hornbeam_route::{
+    ControllerContact, Engine, EngineParams, Input, RetryBudgetParams, ServerChange,
+};
 use hornbeam_settings::FleetSettings;
 use hyper::StatusCode;
 use serde_json::json;
@@ -92,6 +94,9 @@
     let key = FrameKey::new(settings.key.as_bytes());
     let group_exchange = GroupExchange::new(settings.instance.clone(), key);
     let core = Core::new(engine, clock, dialect, metrics, log.clone(), group_exchange);
+    let strict_window = settings.revocation.strict_window();
+    let contact = ControllerContact { strict_window, ..ControllerContact::default() };
+    core.step(Input::ControllerContact(contact));
     let (stage_tx, stage) = watch::channel(Stage::Serving);
 
     let callers = settings.callers.ok_or(ProgramError::Missing { field: "callers" })?;
@@ -209,6 +214,7 @@
             core.metrics.table_version.set(table.version.0 as i64);
             core.step(Input::Table(table));
         }
+        FeedEvent::Contact(contact) => core.step(Input::ControllerContact(contact)),
         FeedEvent::Peers(peers) => {
             let names: Vec<_> = peers.iter().map(|p| p.name.clone()).collect();
             core.group_exchange.retain_peers(&names);
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -48,7 +48,43 @@
 
 /// An entry with this name whose route leads to a server at each of the addresses.
 pub fn named_core(name: &str, addresses: &[SocketAddr], idempotent: bool) -> Rc<Core> {
-    let service: ServiceId = "tablet".parse().unwrap();
+    let core = core_without_table(name);
+    core.step(Input::EntryCount(1));
+    core.step(Input::Table(Arc::new(table(idempotent))));
+    core.step(Input::Servers(servers(addresses)));
+    core
+}
+
+fn service() -> ServiceId {
+    "tablet".parse().unwrap()
+}
+
+/// The first table, whose route leads to the one service.
+pub fn table(idempotent: bool) -> Routing {
+    Routing {
+        version: TableVersion(1),
+        routes: vec![Arc::new(route(idempotent))],
+        services: [(service(), RoutedService { max_connections: 8 })].into(),
+        ..Routing::default()
+    }
+}
+
+/// A server of the service at each of the addresses.
+pub fn servers(addresses: &[SocketAddr]) -> Vec<ServerChange> {
+    let servers = addresses.iter().enumerate().map(|(i, address)| ServerChange::Usable {
+        server: format!("s{i}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        service: service(),
+        address: *address,
+        zone: "olomouc".parse().unwrap(),
+        slots: 4,
+        warm_up: Duration::ZERO,
+    });
+    servers.collect()
+}
+
+/// An entry with this name that has no table and no servers yet.
+pub fn core_without_table(name: &str) -> Rc<Core> {
     let engine = Engine::new(EngineParams {
         name: name.parse().unwrap(),
         zone: "olomouc".parse().unwrap(),
@@ -64,33 +100,14 @@
     });
     let key = FrameKey::new(b"a key of at least sixteen bytes");
     let group_exchange = GroupExchange::new(name.parse().unwrap(), key);
-    let core = Core::new(
+    Core::new(
         engine,
         Clock::start(),
         Dialect::default(),
         Metrics::default(),
         StructuredLog::start(name, LogRates::default()),
         group_exchange,
-    );
-    core.step(Input::EntryCount(1));
-    let table = Routing {
-        version: TableVersion(1),
-        routes: vec![Arc::new(route(idempotent))],
-        services: [(service.clone(), RoutedService { max_connections: 8 })].into(),
-        ..Routing::default()
-    };
-    core.step(Input::Table(Arc::new(table)));
-    let servers = addresses.iter().enumerate().map(|(i, address)| ServerChange::Usable {
-        server: format!("s{i}").parse().unwrap(),
-        incarnation: Incarnation(1),
-        service: service.clone(),
-        address: *address,
-        zone: "olomouc".parse().unwrap(),
-        slots: 4,
-        warm_up: Duration::ZERO,
-    });
-    core.step(Input::Servers(servers.collect()));
-    core
+    )
 }
 
 pub async fn request(core: &Rc<Core>, id: &str) -> Reply {
@@ -106,6 +123,7 @@
     let received = ReceivedRequest {
         forwarded,
         credential: None,
+        set_aside: Default::default(),
         host: "plots.example".into(),
         path: path.into(),
         patience: Some(Duration::from_secs(1)),
--- a/crates/hornbeam_model/src/fingerprint.rs
+++ b/crates/hornbeam_model/src/fingerprint.rs
@@ -4,9 +4,9 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
-use crate::{IdError, ServiceId};
+use crate::{IdError, ServiceId, TeamId};
 
 /// Hash of what stays the same when a caller repeats a request. The request id does not, since each
 /// attempt of a caller has its own, and neither does the address, since a caller may repeat a request
@@ -18,7 +18,7 @@
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
 pub struct Fingerprint {
-    /// Hash of the caller's credentials; 0 without any.
+    /// Hash of the caller's credentials and team; 0 without any.
     pub caller: u64,
     /// Hash of method, host, path and body.
     pub content: u64,
@@ -51,6 +51,13 @@
         Self { content: content.digest(), ..self }
     }
 
+    /// Returns the fingerprint of the same request by a caller of a team. The team stands for its keys:
+    /// a caller may repeat a request with another one.
+    #[must_use]
+    pub fn of_team(self, team: &TeamId) -> Self {
+        Self { caller: xxh3_64_with_seed(team.as_str().as_bytes(), self.caller), ..self }
+    }
+
     /// Returns the fingerprint of the shard of this search that a service responds to.
     #[must_use]
     pub fn at_service(self, service: &ServiceId) -> Self {
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -85,6 +85,8 @@
         outstanding: usize,
         left_ms: u64,
     },
+    /// The key of a running request was revoked; `dropped` shards that were queued are not sent.
+    KeyRevoked { request: SmolStr, dropped: usize, in_flight: usize, groups: usize },
     /// No hedge was sent for a late shard, because the retry budget is exhausted.
     HedgeDenied { request: SmolStr, service: ServiceId, entries: u32 },
     /// The shards of a search were delegated to other entries in groups.
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 use smol_str::SmolStr;
 
-use super::{Completion, Engine, Output, teams};
+use super::teams::KeyCheck;
+use super::{Completion, Engine, Output};
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, answer_by};
 
@@ -43,6 +44,10 @@
     pub arrived: Mono,
     pub patience: Option<Duration>,
     pub opened_connection: bool,
+    /// Time that it waited for a routing table, already taken off `patience`.
+    pub waited: Duration,
+    /// When it is refused if the table has not arrived.
+    pub waits_until: Mono,
 }
 
 /// When the services of a route have capacity for a request.
@@ -81,11 +86,16 @@
             self.demand.record(now, 1.0);
             return self.refuse_on_arrival(now, arrival, None, RefusalKind::NoRoute, None, out);
         };
-        arrival.team = self.team_keys.team(arrival.credential).cloned();
-        if arrival.team.is_none() && teams::needs_key(&table, &route) {
-            self.demand.record(now, 1.0);
-            let kind = RefusalKind::UnknownKey;
-            return self.refuse_on_arrival(now, arrival, Some(&route), kind, None, out);
+        match self.check_key(now, &table, &route, arrival.credential) {
+            KeyCheck::Accepted(team) => arrival.team = team,
+            KeyCheck::AwaitTable => return self.await_newer_table(now, arrival, out),
+            KeyCheck::Refused(kind) => {
+                self.demand.record(now, 1.0);
+                return self.refuse_on_arrival(now, arrival, Some(&route), kind, None, out);
+            }
+        }
+        if let Some(team) = &arrival.team {
+            arrival.fingerprint = arrival.fingerprint.of_team(team);
         }
         let services = self.services_for(&route);
         let delegates = self.should_delegate(&route, &services);
@@ -114,6 +124,7 @@
         {
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
+        self.state_team(&table, &arrival, out);
         let timeout = route.timeout();
         let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
         let answer_by =
@@ -126,6 +137,7 @@
             min_shards,
             fingerprint: arrival.fingerprint,
             team: arrival.team,
+            credential: arrival.credential,
             ..RunningRequest::new(arrival.key, arrival.id, route, services)
         };
         let key = running.key;
@@ -264,8 +276,8 @@
     }
 
     /// Returns the retry delay for a caller: the expected wait with jitter. `None` if the request
-    /// may have run, and if no route matches or the key is unknown, because a retry then fails in the same
-    /// way.
+    /// may have run, and if no route matches or the key is unknown, because
+    /// a retry then fails in the same way.
     pub(super) fn retry_after(
         &mut self,
         kind: RefusalKind,
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -91,7 +91,7 @@
         let Some(running) = self.requests.get(&key) else { return true };
         let progress = &running.shards[shard];
         if progress.possible_runs >= running.allowed_attempts()
-            || self.is_quarantined(now, key, shard)
+            || self.may_not_start(now, key, shard)
         {
             return false;
         }
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -6,12 +6,13 @@
 
 use hornbeam_model::{
     AttemptId, CrashReport, Fingerprint, Incarnation, InstanceId, KeyDigest, QueryId, RateReport,
-    RequestRate, Route, Routing, ServerId, ServiceId, Zone,
+    RequestRate, Route, Routing, ServerId, ServiceId, TeamId, Zone,
 };
 use smol_str::SmolStr;
 
 use super::GroupRequest;
 use crate::budget::RetryBudgetParams;
+use crate::contact::ControllerContact;
 use crate::decision::{AttemptKind, Decision};
 use crate::notice::{LeavingServer, ServerNotice};
 use crate::peers::{Peer, ProbePath};
@@ -114,6 +115,8 @@
     Servers(Vec<ServerChange>),
     /// A new routing table is in force.
     Table(Arc<Routing>),
+    /// The controllers stated the versions of their routing tables.
+    ControllerContact(ControllerContact),
     /// Other entries learned that servers are leaving.
     ServersLeaving(Vec<LeavingServer>),
     /// This entry is isolated from the rest of the fleet, or no longer.
@@ -307,6 +310,15 @@
     Refuse(Refusal),
 }
 
+/// What the head of a request states to servers about the team of its caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TeamField {
+    /// The team that holds the key of the request.
+    Team(TeamId),
+    /// What the caller sent: the routing table has no teams.
+    AsReceived,
+}
+
 /// An action that the entry performs for the engine.
 #[derive(Debug)]
 pub enum Output {
@@ -314,6 +326,13 @@
     SendAttempt(Attempt),
     /// Abort an attempt by closing its connection.
     Abort(AttemptId),
+    /// Complete the head of a request, before its first attempt and group.
+    SetTeamField {
+        /// The request.
+        request: QueryId,
+        /// What its head states about the team.
+        field: TeamField,
+    },
     /// Discard the response of an attempt or group.
     Discard(AttemptId),
     /// Close the idle connections to a server.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! - [`relaying`]: shards and requests that only other entries can reach
 //! - [`gathering`]: shard groups gathered for other entries
 //! - [`startup`]: requests that arrive before the first routing table
+//! - [`revocation`]: requests whose key is revoked while they run
 //! - [`teams`]: teams of callers and their keys
 //! - [`servers`]: changes of servers, routing tables and the number of entries
 
@@ -30,6 +31,7 @@
 mod placement;
 mod rates;
 mod relaying;
+mod revocation;
 mod servers;
 mod startup;
 mod teams;
@@ -53,9 +55,10 @@
 pub use self::gathering::GroupRequest;
 pub use self::messages::{
     Attempt, AttemptOutcome, Completion, Counters, Delegation, EngineParams, GroupEvent,
-    GroupReport, Input, Output, ServerChange, ServerHealthReport,
+    GroupReport, Input, Output, ServerChange, ServerHealthReport, TeamField,
 };
 use crate::access::ServerAccess;
+use crate::contact::TableContact;
 use crate::crash_history::CrashHistory;
 use crate::decision::AttemptKind;
 use crate::demand::Demand;
@@ -90,8 +93,10 @@
 enum Timer {
     Request(QueryId),
     Linger(AttemptId),
-    /// A request has waited too long for the first routing table.
+    /// A request has waited too long for a routing table.
     AwaitTable(QueryId),
+    /// The groups of a request whose key was revoked have had time to end.
+    EndRevokedGroups(QueryId),
     /// The zone at this position has been silent since it was suspected to be unreachable.
     ConfirmZone(usize),
     /// No server has responded since this entry was suspected to be detached.
@@ -112,6 +117,7 @@
     table: Option<Arc<Routing>>,
     index: RouteIndex,
     team_keys: teams::TeamKeys,
+    contact: TableContact,
     splitters: HashMap<RouteId, Splitter>,
     latencies: HashMap<RouteId, LatencyWindow>,
     /// Positions are stable; a service that is no longer in the table keeps its position.
@@ -135,7 +141,7 @@
     next_probed: usize,
     /// True while this entry is isolated and other entries serve callers better.
     isolated: bool,
-    /// Requests that wait for the first routing table, in the order of their arrival.
+    /// Requests that wait for a routing table, in the order of their arrival.
     awaiting_table: IndexMap<QueryId, admission::Arrival>,
     /// Positions in `servers` that can be reused.
     free_positions: Vec<usize>,
@@ -166,6 +172,7 @@
             table: None,
             index: RouteIndex::default(),
             team_keys: teams::TeamKeys::default(),
+            contact: TableContact::default(),
             splitters: HashMap::new(),
             latencies: HashMap::new(),
             services: IndexMap::new(),
@@ -222,6 +229,8 @@
                     arrived,
                     patience,
                     opened_connection,
+                    waited: Duration::ZERO,
+                    waits_until: now,
                 };
                 self.on_request(now, arrival, out);
             }
@@ -239,6 +248,7 @@
                 self.on_table(now, table, out);
                 self.admit_waiting(now, out);
             }
+            Input::ControllerContact(contact) => self.on_controller_contact(now, contact, out),
             Input::Isolated(isolated) => {
                 self.isolated = isolated;
                 if !isolated {
@@ -357,7 +367,8 @@
                 }
                 Timer::ConfirmDetached => self.confirm_detached(now, out),
                 Timer::ProbeServers => self.probe_servers(now, out),
-                Timer::AwaitTable(key) => self.refuse_without_table(now, key, out),
+                Timer::EndRevokedGroups(key) => self.end_revoked_groups(now, key, out),
+                Timer::AwaitTable(key) => self.on_wait_end(now, key, out),
                 Timer::ServerAvailable(service) => self.dispatch_waiters(now, service, out),
             }
         }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -152,7 +152,7 @@
         (server, cost): (usize, f64),
         out: &mut Vec<Output>,
     ) -> bool {
-        if self.is_quarantined(now, key, shard) {
+        if self.may_not_start(now, key, shard) {
             return false;
         }
         let kind = self.next_kind(key, shard);
@@ -193,7 +193,7 @@
         others_suffice: bool,
         out: &mut Vec<Output>,
     ) {
-        if self.is_quarantined(now, key, shard) {
+        if self.may_not_start(now, key, shard) {
             return self.mark_missing(key, shard);
         }
         let Some(running) = self.requests.get_mut(&key) else { return };
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -126,7 +126,7 @@
         progress.relays < MAX_RELAYS
             && running.may_run(shard)
             && now < running.deadline
-            && !self.is_quarantined(now, key, shard)
+            && !self.may_not_start(now, key, shard)
             && (deliveries == 0 || self.retry_allowed(now, key, service))
     }
 
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -164,8 +164,10 @@
         self.latencies.retain(|name, _| named(name));
         let routes = table.routes.len();
         out.push(Output::Log(Decision::TableInForce { table: table.version, routes }));
+        self.contact.confirm(table.version);
         self.table = Some(table);
         self.update_shares(now);
+        self.stop_revoked(now, out);
     }
 
     pub(super) fn on_entry_count(&mut self, now: Mono, entries: u32) {
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - `access`: detects that this entry reaches no backend server
 //! - [`budget`]: limit on hedges and retries per service
+//! - [`contact`]: whether the keys that this entry knows can be relied on
 //! - [`crash_history`]: requests that end the servers that run them
 //! - `demand`: request rate of this entry and its part of that of all entries
 //! - `rate_meter`: mean rate of requests
@@ -23,6 +24,7 @@
 
 mod access;
 pub mod budget;
+pub mod contact;
 pub mod crash_history;
 pub mod decision;
 mod demand;
@@ -40,11 +42,13 @@
 pub mod zones;
 
 pub use budget::{RetryBudget, RetryBudgetParams};
+pub use contact::ControllerContact;
 pub use crash_history::CrashHistory;
 pub use decision::{AttemptKind, Decision, GroupFailure};
 pub use engine::{
     Attempt, AttemptOutcome, Completion, Counters, Delegation, Engine, EngineParams, GroupEvent,
-    GroupReport, GroupRequest, Input, Output, ServerChange, ServerHealthReport, group_size,
+    GroupReport, GroupRequest, Input, Output, ServerChange, ServerHealthReport, TeamField,
+    group_size,
 };
 pub use merge::merge_records;
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{AttemptId, Fingerprint, Mono, QueryId, Route, TableVersion, Target, TeamId};
+use hornbeam_model::{
+    AttemptId, Fingerprint, KeyDigest, Mono, QueryId, Route, TableVersion, Target, TeamId,
+};
 use indexmap::IndexSet;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -25,6 +27,8 @@
     NoRoute,
     /// The key is missing or belongs to no team; the request has not run.
     UnknownKey,
+    /// It is not known here which keys are in force; the request has not run.
+    Unverified,
     /// Too few servers are usable; the request has not run.
     NoServer,
     /// The expected wait is too long or the entry is at its limit; the request has not run.
@@ -47,6 +51,7 @@
             Self::NoTable
                 | Self::NoRoute
                 | Self::UnknownKey
+                | Self::Unverified
                 | Self::NoServer
                 | Self::Overloaded
                 | Self::Quarantined
@@ -201,6 +206,10 @@
     pub fingerprint: Fingerprint,
     /// Team of the caller; `None` without teams and for gathered groups.
     pub team: Option<TeamId>,
+    /// Digest of the key by which the team was determined.
+    pub credential: Option<KeyDigest>,
+    /// True once the key was revoked: what runs is completed, and nothing new is sent.
+    pub is_revoked: bool,
     /// Matched route, from the table version in force on arrival.
     pub route: Arc<Route>,
     /// Table version of the route; the whole request uses this version.
@@ -243,6 +252,8 @@
             id,
             fingerprint: Fingerprint::default(),
             team: None,
+            credential: None,
+            is_revoked: false,
             route,
             table: TableVersion(0),
             arrived: Mono::default(),
--- a/crates/hornbeam_route/tests/common/harness.rs
+++ b/crates/hornbeam_route/tests/common/harness.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, Fingerprint, Incarnation, Mono, QueryId, Route, RoutedService, Routing, TableVersion,
+    AttemptId, Fingerprint, Incarnation, KeyDigest, Mono, QueryId, Route, RoutedService, Routing,
+    TableVersion, Team, TrafficPolicy,
 };
 use hornbeam_route::{
     AttemptOutcome, Completion, Engine, EngineParams, Input, Output, RefusalKind,
@@ -22,6 +23,8 @@
 pub struct Harness {
     pub engine: Engine,
     pub out: Vec<Output>,
+    /// Key of the requests that are sent.
+    pub credential: Option<KeyDigest>,
     route: Arc<Route>,
 }
 
@@ -46,7 +49,7 @@
             linger: 300 * MS,
             seed: 1,
         });
-        Self { engine, out: Vec::new(), route: Arc::new(route) }
+        Self { engine, out: Vec::new(), credential: None, route: Arc::new(route) }
     }
 
     /// Passes the servers, the table and the number of entries to the engine.
@@ -56,10 +59,22 @@
         }
         // With eight entries, each may have one attempt in flight at a server.
         self.step(now, Input::EntryCount(8));
+        self.receive_teams(now, 1, &[]);
+    }
+
+    /// Passes a table of this version to the engine, whose teams have these keys.
+    pub fn receive_teams(&mut self, now: Mono, version: u64, teams: &[(&str, &[&str])]) {
+        let team = |keys: &[&str]| Team {
+            keys: keys.iter().map(|k| KeyDigest::of(k.as_bytes())).collect(),
+            ..Team::default()
+        };
+        let teams = teams.iter().map(|(name, keys)| (name.parse().unwrap(), team(keys)));
+        let policy = TrafficPolicy { teams: teams.collect(), ..TrafficPolicy::default() };
         let table = Routing {
-            version: TableVersion(1),
+            version: TableVersion(version),
             routes: vec![self.route.clone()],
             services: [(service("tablet"), RoutedService { max_connections: 8 })].into(),
+            policy: Arc::new(policy),
             ..Routing::default()
         };
         self.step(now, Input::Table(Arc::new(table)));
@@ -89,7 +104,7 @@
                 key: QueryId(key),
                 id: format!("r{key}").into(),
                 fingerprint: Fingerprint { caller: 0, content: key, query: Some(0), service: None },
-                credential: None,
+                credential: self.credential,
                 host: "plots.example".into(),
                 path: "/lookup/1".into(),
                 patience,
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -808,7 +808,7 @@
                 let has_ended = witnessed && self.seems_ended(entry, &server, incarnation);
                 self.step(entry, Input::ServerChecked { server, incarnation, has_ended });
             }
-            Output::CloseIdle(_) | Output::Discard(_) => {}
+            Output::CloseIdle(_) | Output::Discard(_) | Output::SetTeamField { .. } => {}
             Output::Complete { request, completion } => {
                 let (route, at) = self.running.remove(&request).expect("a request completes once");
                 let returned = self.returned.remove(&request);
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -19,6 +19,10 @@
 /// Default memory of the process, in megabytes.
 const DEFAULT_MEMORY_MB: u32 = 256;
 
+/// Default time without a majority of the controllers after which strict entries refuse keys, in
+/// milliseconds: a dozen heartbeats of a feed.
+const DEFAULT_REVOCATION_WINDOW_MS: u32 = 5_000;
+
 /// Retry budget of the whole fleet for each service: the limit on its hedges and retries.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -57,6 +61,25 @@
     }
 }
 
+/// When an entry stops accepting keys because it may not know of their revocation.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct RevocationSettings {
+    /// True if keys are refused while the contact with the controllers is lost; absent is false.
+    pub strict: Option<bool>,
+    /// Time without a majority of the controllers after which keys are refused, in milliseconds.
+    pub window_ms: Option<u32>,
+}
+
+impl RevocationSettings {
+    /// Returns the time without a majority of the controllers after which keys are refused, or `None`
+    /// if they never are.
+    pub fn strict_window(&self) -> Option<Duration> {
+        let ms = self.window_ms.unwrap_or(DEFAULT_REVOCATION_WINDOW_MS);
+        self.strict.unwrap_or(false).then(|| Duration::from_millis(u64::from(ms)))
+    }
+}
+
 /// Checked settings of one entry or controller.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -106,6 +129,9 @@
     /// Retry budget of the whole fleet for each service.
     #[serde(default)]
     pub budget: RetryBudgetSettings,
+    /// When an entry stops accepting keys without contact with the controllers.
+    #[serde(default)]
+    pub revocation: RevocationSettings,
     /// Maximum rates of structured log lines.
     #[serde(default)]
     pub log: LogRates,
