Requests leave their zone only when that pays

Cause: a server of another zone was chosen by its cost alone, with a constant factor of 1.35. Change: Engine::enable_zone_spill. First attempts stay with the copies at home, unless these cannot be used, stall, or are full for too long; a share of them leaves by steps while the measured use of the time allowed is unsafe at home and the other zone is known to have room. Hedges and retries leave if no prompt copy is at home. A zone that nothing is sent to is tried once a second, since isolation is noticed by it. Without the call, servers are chosen as before.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -451,6 +451,7 @@
                 "server_changed"
             }
             Decision::ServerChanged { .. } => "server_changed",
+            Decision::ZoneSpill { .. } => "zone_spill",
             Decision::TableInForce { .. } => "table_in_force",
             Decision::Delegated { .. } => "delegated",
             Decision::GroupFailed { .. } => "group_failed",
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -212,6 +212,18 @@
     ServerRate { server: ServerId, service: ServiceId, rate: Option<RequestRate>, entries: u32 },
     /// A server stated a rate that cannot be read; what it stated before holds.
     RateIgnored { request: SmolStr, server: ServerId },
+    /// Requests of a service begin to leave for another zone, or no longer do if `share` is zero. The
+    /// uses are parts of the time allowed: at home, there and when no zone is short of capacity.
+    ZoneSpill {
+        service: ServiceId,
+        zone: SmolStr,
+        share: f64,
+        home_use: Option<f64>,
+        away_use: Option<f64>,
+        usual_use: f64,
+        min_gain: f64,
+        waiting: usize,
+    },
     /// A server became usable, changed or became unusable.
     ServerChanged { server: ServerId, service: ServiceId, usable: bool, why: &'static str },
     /// A routing table is in force.
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -60,6 +60,7 @@
         } else if outcome != AttemptOutcome::Withheld {
             self.record_zone_silence(now, in_flight.server, in_flight.sent_at);
         }
+        self.record_zone_use(now, in_flight, outcome);
         match outcome {
             AttemptOutcome::Answered => {
                 let window = self.latency_window(&in_flight.route);
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -283,6 +283,8 @@
     pub address: SocketAddr,
     /// Connections that this entry may open to the server.
     pub share: u32,
+    /// True if the server is in another zone than this entry.
+    pub leaves_zone: bool,
     /// Time until the deadline of the request.
     pub remaining: Duration,
 }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -13,6 +13,7 @@
 //! - [`delegation`]: shard groups delegated to other entries
 //! - [`relaying`]: shards and requests that only other entries can reach
 //! - [`gathering`]: shard groups gathered for other entries
+//! - [`spilling`]: requests that leave the zone
 //! - [`startup`]: requests that arrive before the first routing table
 //! - [`servers`]: changes of servers, routing tables and the number of entries
 
@@ -30,6 +31,7 @@
 mod rates;
 mod relaying;
 mod servers;
+mod spilling;
 mod startup;
 
 use std::cmp::Reverse;
@@ -63,6 +65,7 @@
 use crate::request::{RefusalKind, RunningRequest};
 use crate::server::Server;
 use crate::service::Service;
+use crate::spill::ZoneSpill;
 use crate::split::Splitter;
 use crate::zones::ZoneReachability;
 
@@ -80,6 +83,8 @@
     server: usize,
     sent_at: Mono,
     kind: AttemptKind,
+    /// Time from the arrival of the request until its response is due.
+    allowed: Duration,
     /// True once it was counted as an attempt without a response.
     marked_unresponsive: bool,
 }
@@ -126,6 +131,8 @@
     logged_quarantines: Vec<Fingerprint>,
     zones: ZoneReachability,
     access: ServerAccess,
+    /// `None` if the deployment does not enable it.
+    spill: Option<Box<ZoneSpill>>,
     /// When the servers of a detached entry may be probed next.
     next_server_probe: Mono,
     /// Position from which the next servers to probe are taken, so that all have their turn.
@@ -175,6 +182,7 @@
             logged_quarantines: Vec::new(),
             zones: ZoneReachability::default(),
             access: ServerAccess::default(),
+            spill: None,
             next_server_probe: Mono::default(),
             next_probed: 0,
             isolated: false,
@@ -254,6 +262,7 @@
             Input::Tick => {}
         }
         self.run_timers(now, out);
+        self.log_spill(out);
     }
 
     /// Returns the time by which [`Input::Tick`] is due.
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::spilling::ZoneFilter;
 use super::{Attempt, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::{AttemptKind, Decision};
 use crate::request::{RunningRequest, ShardStatus};
@@ -228,15 +229,16 @@
     /// unreachable zone is chosen only as a probe of the zone, or if there is no other one and the
     /// zone is not lost yet. A server that
     /// would respond long after `due` is chosen only if there is no other one: its response would
-    /// be too late and cost it the same work.
-    pub(super) fn choose_server(
+    /// be too late and cost it the same work. Only servers in the zones of the filter are considered.
+    pub(super) fn choose_server_in(
         &mut self,
         now: Mono,
         service: usize,
         exclude: &[usize],
         due: Mono,
+        filter: &ZoneFilter,
     ) -> ServerChoice {
-        if !self.services[service].has_capacity() {
+        if filter.is_limited() && self.is_at_limit(service) {
             return ServerChoice::AtCapacity;
         }
         let usual = self.services[service].mean_latency();
@@ -248,6 +250,9 @@
         for position in 0..self.services[service].servers.len() {
             let idx = self.services[service].servers[position];
             let server = &mut self.servers[idx];
+            if !filter.admits(&server.zone) {
+                continue;
+            }
             if exclude.contains(&idx)
                 || server.is_paused(now)
                 || (server.is_ejected() && !server.start_probe_if_due(now))
@@ -432,6 +437,7 @@
             server: s.id.clone(),
             address: s.address,
             share: s.share,
+            leaves_zone: !s.same_zone,
             remaining: left,
         }));
         self.counters.attempts[kind as usize] += 1;
@@ -445,6 +451,7 @@
             server,
             sent_at: now,
             kind,
+            allowed: running.answer_by.since(running.arrived),
             marked_unresponsive: false,
         };
         self.attempts.insert(attempt, in_flight);
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -59,9 +59,11 @@
             Some(idx) => *idx,
             None => self.new_server(Server::new(server.clone(), address, position, share)),
         };
+        let same_zone = zone == self.params.zone;
+        let share = self.share_by_zone(position, share, same_zone);
         let s = &mut self.servers[idx];
         s.incarnation = incarnation;
-        s.same_zone = zone == self.params.zone;
+        s.same_zone = same_zone;
         s.zone = SmolStr::new(zone.as_str());
         s.slots = slots.max(1);
         s.warm_up_until = now + warm_up;
@@ -143,12 +145,16 @@
     /// `part` of the attempts at the server, but at most an equal part of the connections that the
     /// server accepts.
     fn share_of(&self, position: usize, slots: u32, part: f64) -> u32 {
-        let connections = self.services[position].max_connections;
-        let share = connections * USABLE_CONNECTIONS_PERCENT / 100 / self.entries.max(1);
+        let share = self.usable_connections(position) / self.entries.max(1);
         let work = f64::from(slots.max(1) * ATTEMPTS_PER_SLOT) * part;
         share.min(work.ceil() as u32).max(1)
     }
 
+    /// Returns the connections to a server of the service that all entries together use.
+    pub(super) fn usable_connections(&self, position: usize) -> u32 {
+        self.services[position].max_connections * USABLE_CONNECTIONS_PERCENT / 100
+    }
+
     pub(super) fn on_table(&mut self, now: Mono, table: Arc<Routing>, out: &mut Vec<Output>) {
         if self.table.as_ref().is_some_and(|t| t.version >= table.version) {
             return;
@@ -185,7 +191,9 @@
     pub(super) fn update_shares(&mut self, now: Mono) {
         let part = self.demand.part(now, self.entries);
         for idx in 0..self.servers.len() {
-            let share = self.share_of(self.servers[idx].service, self.servers[idx].slots, part);
+            let Server { service, slots, same_zone, .. } = self.servers[idx];
+            let share = self.share_of(service, slots, part);
+            let share = self.share_by_zone(service, share, same_zone);
             self.servers[idx].set_share(share);
         }
     }
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`request`]: state of one running request
 //! - `silence`: detects that a set of servers has become silent together
 //! - [`zones`]: detects that a whole zone has become unreachable
+//! - [`spill`]: decides when requests leave the zone, and how many
 //! - [`split`]: weighted distribution of requests over services
 //! - [`merge`]: merges the records of shard responses into one ranking
 //! - [`notice`]: servers that leave, ask for a pause or state a rate
@@ -36,6 +37,7 @@
 pub mod server;
 pub mod service;
 mod silence;
+pub mod spill;
 pub mod split;
 pub mod zones;
 
@@ -50,3 +52,4 @@
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
 pub use peers::{Peer, Peers, ProbePath};
 pub use request::{Refusal, RefusalKind};
+pub use spill::SpillParams;
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -241,7 +241,8 @@
         usual.mul_f64(self.slowness(now))
     }
 
-    fn is_stalled(&self, now: Mono, usual: Duration) -> bool {
+    /// Returns true if an attempt is in flight for much longer than usual.
+    pub fn is_stalled(&self, now: Mono, usual: Duration) -> bool {
         let oldest = self.outstanding.first();
         oldest.is_some_and(|(_, at)| {
             now.since(*at) > usual.mul_f64(STALLED_AFTER_LATENCIES * self.slowness)
--- a/crates/hornbeam_route/src/service.rs
+++ b/crates/hornbeam_route/src/service.rs
@@ -109,7 +109,13 @@
     /// Returns true if the limit allows another attempt; otherwise records that the limit was
     /// reached.
     pub fn has_capacity(&mut self) -> bool {
-        let has_capacity = self.outstanding < self.limiter.limit();
+        self.has_capacity_for(self.outstanding)
+    }
+
+    /// Returns true if the limit allows more than this number of attempts; otherwise records that the
+    /// limit was reached.
+    pub fn has_capacity_for(&mut self, outstanding: u32) -> bool {
+        let has_capacity = outstanding < self.limiter.limit();
         if !has_capacity {
             self.limiter.mark_limit_reached();
         }
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod routes;
 mod sim_server;
 mod sites;
+mod zones;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
@@ -35,6 +36,7 @@
 pub use sites::{
     CHECKS_PER_SECOND, CONSORTIUM, FURNACE, HANAK, SWEEPS_PER_SECOND, Site, run_searches, warm_up,
 };
+pub use zones::{SentAttempt, ZONE_SITE, run_zones};
 
 /// One-way network latency between two instances.
 const ONE_WAY_LATENCY: Duration = Duration::from_micros(400);
@@ -142,6 +144,10 @@
     links: HashMap<(usize, usize), LinkFault>,
     /// Number of zones that entries and servers are in.
     zones: usize,
+    /// Round trip to another zone in addition to that within a zone.
+    pub zone_round_trip: Duration,
+    /// Attempts of entries, as far as they are recorded.
+    pub sent: Option<Vec<SentAttempt>>,
     /// True if callers send a refused request again, once, after the stated retry delay.
     pub callers_return: bool,
     /// Requests that were sent again after a refusal.
@@ -215,6 +221,8 @@
             entry_faults: vec![EntryFault::None; entries],
             links: HashMap::new(),
             zones,
+            zone_round_trip: Duration::ZERO,
+            sent: None,
             callers_return: false,
             returned: HashSet::new(),
             preferred_entry: None,
@@ -722,7 +730,9 @@
         match output {
             Output::SendAttempt(attempt) => {
                 let server = self.by_name[&attempt.server];
-                let Attempt { id, request, remaining, .. } = attempt;
+                let Attempt { id, request, remaining, leaves_zone, kind, .. } = attempt;
+                self.record_sent(entry, server, kind);
+                let distance = if leaves_zone { self.zone_round_trip } else { Duration::ZERO };
                 if let Some(fault) = self.links.get(&(entry, server)) {
                     if let Some(outcome) = fault.undelivered() {
                         let ended = Event::AttemptFinished((entry, id), server, outcome);
@@ -731,7 +741,8 @@
                     return;
                 }
                 let event = Event::AttemptArrival(server, (entry, id), request, remaining);
-                self.schedule(self.busy_until[entry].max(self.now) + ONE_WAY_LATENCY, event);
+                let sent_at = self.busy_until[entry].max(self.now);
+                self.schedule(sent_at + ONE_WAY_LATENCY + distance, event);
             }
             Output::Delegate(delegation) => {
                 let to = entry_number(&delegation.peer);
