Entries read zone_spill and count what crosses zones

Cause: the decision needs the round trips and bytes that only the entry sees, and operators need to see its effect. Change: optional zone_spill in the settings of an entry, with min_gain_ms and byte_cost; all else is measured. The time in which a connection opens is the round trip to its zone. Metrics of attempts and bytes by zone of the server, and of spills that began or ended.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -195,7 +195,13 @@
             Some(stream) => Some(stream),
             None => {
                 core.metrics.connects.inc();
-                connect(attempt.address).await
+                let opened_at = Instant::now();
+                let stream = connect(attempt.address).await;
+                if stream.is_some() {
+                    let time = opened_at.elapsed();
+                    core.with_engine_mut(|e| e.record_round_trip(&attempt.server, time));
+                }
+                stream
             }
         };
         let Some(mut stream) = stream else {
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -167,6 +167,11 @@
         self.engine.borrow_mut().take_crash_reports(self.clock.now())
     }
 
+    /// Calls `f` with write access to the engine.
+    pub(crate) fn with_engine_mut(&self, f: impl FnOnce(&mut Engine)) {
+        f(&mut self.engine.borrow_mut());
+    }
+
     /// Returns the pool of connections to backend servers.
     pub fn backends(&self) -> &Backends {
         &self.backends
@@ -338,10 +343,11 @@
     fn send(self: &Rc<Self>, attempt: Attempt) {
         let Some(request) = self.requests.borrow().get(&attempt.request).cloned() else { return };
         let id = attempt.id;
-        self.metrics.attempts.with_label_values(&[attempt.kind.label()]).inc();
+        self.count_attempt(&attempt);
         let core = self.clone();
         let task = tokio::task::spawn_local(async move {
             let exchange = crate::backends::exchange(&core, &attempt, &request).await;
+            core.count_bytes(&attempt, &request, &exchange);
             core.on_attempt_finished(id, exchange);
         });
         self.attempts.borrow_mut().insert(id, task.abort_handle());
@@ -451,7 +457,11 @@
                 "server_changed"
             }
             Decision::ServerChanged { .. } => "server_changed",
-            Decision::ZoneSpill { .. } => "zone_spill",
+            Decision::ZoneSpill { share, .. } => {
+                let change = if *share > 0.0 { "began" } else { "ended" };
+                self.metrics.zone_spills.with_label_values(&[change]).inc();
+                "zone_spill"
+            }
             Decision::TableInForce { .. } => "table_in_force",
             Decision::Delegated { .. } => "delegated",
             Decision::GroupFailed { .. } => "group_failed",
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -19,6 +19,12 @@
     pub refusals: IntCounterVec,
     /// Attempts sent to backend servers, by kind.
     pub attempts: IntCounterVec,
+    /// Attempts sent to backend servers, by the zone of the server: that of this entry or another one.
+    pub zone_attempts: IntCounterVec,
+    /// Bytes of requests and responses exchanged with backend servers, by the zone of the server.
+    pub zone_bytes: IntCounterVec,
+    /// Times at which requests of a service began or ceased to leave the zone, by which of both.
+    pub zone_spills: IntCounterVec,
     /// Attempts that ended, by outcome.
     pub outcomes: IntCounterVec,
     /// Servers that stated in a response that they are leaving or want a pause, by kind.
@@ -63,6 +69,21 @@
             request_seconds: register(&registry, HistogramVec::new(opts, &["outcome"])),
             refusals: counters("hornbeam_entry_refusals_total", "Requests refused.", "reason"),
             attempts: counters("hornbeam_entry_attempts_total", "Attempts sent.", "kind"),
+            zone_attempts: counters(
+                "hornbeam_entry_zone_attempts_total",
+                "Attempts sent, by the zone of the server.",
+                "zone",
+            ),
+            zone_bytes: counters(
+                "hornbeam_entry_zone_bytes_total",
+                "Bytes exchanged with servers, by their zone.",
+                "zone",
+            ),
+            zone_spills: counters(
+                "hornbeam_entry_zone_spills_total",
+                "Times at which requests of a service began or ceased to leave the zone.",
+                "change",
+            ),
             outcomes: counters("hornbeam_entry_outcomes_total", "Attempts ended.", "outcome"),
             notices: counters(
                 "hornbeam_entry_server_notices_total",
--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -42,6 +42,11 @@
         Self { status, head: head.into(), body: body.into(), reusable: false }
     }
 
+    /// Returns the bytes of the status line and the header fields.
+    pub fn head_len(&self) -> usize {
+        self.head.len()
+    }
+
     /// Returns the status line and the header fields as received.
     pub fn head(&self) -> &[u8] {
         &self.head
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hornbeam_model::Mono;
 use hornbeam_node::clock::Clock;
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
@@ -13,7 +14,7 @@
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::HealthReport;
-use hornbeam_route::{Engine, EngineParams, Input, RetryBudgetParams, ServerChange};
+use hornbeam_route::{Engine, EngineParams, Input, RetryBudgetParams, ServerChange, SpillParams};
 use hornbeam_settings::FleetSettings;
 use hyper::StatusCode;
 use serde_json::json;
@@ -77,6 +78,20 @@
     }
 }
 
+/// Returns the engine of an entry, without a routing table or servers.
+fn engine(settings: &FleetSettings, now: Mono) -> Engine {
+    let mut engine = Engine::new(engine_params(settings));
+    if let Some(spill) = settings.zone_spill {
+        let time = |ms: f64| Duration::from_secs_f64(ms / 1e3);
+        let params = SpillParams {
+            min_gain: spill.min_gain_ms.map(time),
+            gain_per_kb: time(spill.byte_cost),
+        };
+        engine.enable_zone_spill(now, params);
+    }
+    engine
+}
+
 async fn serve_entry(
     settings: FleetSettings,
     file: &Path,
@@ -87,7 +102,7 @@
     let mut hup = signal(SignalKind::hangup()).context(StartSnafu { what: "SIGHUP" })?;
     let clock = Clock::start();
     let metrics = Metrics::default();
-    let engine = Engine::new(engine_params(&settings));
+    let engine = engine(&settings, clock.now());
     let ready_path = dialect.ready_path.clone();
     let key = FrameKey::new(settings.key.as_bytes());
     let group_exchange = GroupExchange::new(settings.instance.clone(), key);
--- a/crates/hornbeam_route/src/spill/mod.rs
+++ b/crates/hornbeam_route/src/spill/mod.rs
@@ -38,8 +38,6 @@
 /// What the operator states about traffic between zones.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SpillParams {
-    /// One-way latency between two zones; measured if `None`.
-    pub distance: Option<Duration>,
     /// Time that a response must gain for its request to leave the zone although its objective is
     /// safe there; a part of the objective if `None`.
     pub min_gain: Option<Duration>,
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -19,6 +19,9 @@
 /// Default memory of the process, in megabytes.
 const DEFAULT_MEMORY_MB: u32 = 256;
 
+/// Longest time in the settings of [`ZoneSpillSettings`], in milliseconds.
+const MAX_SPILL_MS: f64 = 60_000.0;
+
 /// Retry budget of the whole fleet for each service: the limit on its hedges and retries.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -57,6 +60,17 @@
     }
 }
 
+/// When requests leave the availability zone of an entry; all fields may be left out.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct ZoneSpillSettings {
+    /// Time in milliseconds that a response must gain for its request to leave the zone although its
+    /// objective is safe there; a fifth of the objective if absent.
+    pub min_gain_ms: Option<f64>,
+    /// Time in milliseconds that it must gain in addition for each kilobyte of request and response.
+    pub byte_cost: f64,
+}
+
 /// Checked settings of one entry or controller.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -112,6 +126,9 @@
     /// Number of shards above which a search is delegated in groups to other entries of the zone.
     #[serde(default = "default_delegate_above")]
     pub delegate_above: usize,
+    /// When requests leave the zone of an entry; a server of any zone is chosen by its cost if absent.
+    #[serde(default)]
+    pub zone_spill: Option<ZoneSpillSettings>,
     /// Memory of the process, in megabytes; it bounds the number of in-flight requests.
     #[serde(default = "default_memory")]
     pub memory_mb: u32,
@@ -165,6 +182,11 @@
         if rates.iter().any(|r| !r.is_finite() || *r < 0.0) {
             return refuse("log", "a rate is negative or not finite", "use 0 or more");
         }
+        let spill = self.zone_spill.unwrap_or_default();
+        let times = [spill.min_gain_ms, Some(spill.byte_cost)];
+        if times.into_iter().flatten().any(|t| !(0.0..=MAX_SPILL_MS).contains(&t)) {
+            return refuse("zone_spill", "a time is outside 0 to 60000 ms", "use 0 to 60000");
+        }
         if self.budget.window_s == 0 {
             return refuse("budget", "window_s is zero", "use at least 1");
         }
--- a/crates/hornbeam_settings/tests/fleet_settings.rs
+++ b/crates/hornbeam_settings/tests/fleet_settings.rs
@@ -1,6 +1,6 @@
 //! Valid and invalid settings of entries and controllers.
 
-use hornbeam_settings::FleetSettings;
+use hornbeam_settings::{FleetSettings, ZoneSpillSettings};
 use yare::parameterized;
 
 const VALID: &str = "instance: entry-1
@@ -32,6 +32,15 @@
     assert_eq!(settings.target_voters(), 1);
 }
 
+#[test]
+fn zone_spill_is_optional() {
+    assert_eq!(read(VALID).unwrap().zone_spill, None);
+    let all_measured = read(&format!("{VALID}zone_spill: {{}}\n")).unwrap().zone_spill;
+    assert_eq!(all_measured, Some(ZoneSpillSettings::default()));
+    let text = format!("{VALID}zone_spill: {{min_gain_ms: 9, byte_cost: 0.5}}\n");
+    assert_eq!(read(&text).unwrap().zone_spill.unwrap().min_gain_ms, Some(9.0));
+}
+
 #[test]
 fn separate_bind_address() {
     let settings = read(&format!("{VALID}bind: 127.0.0.77\n")).unwrap();
@@ -45,6 +54,8 @@
     ratio = { "budget: {ratio: 2, window_s: 10, allowance: 3}\n", "use 0 to 1" },
     window = { "budget: {ratio: 0.1, window_s: 0, allowance: 3}\n", "use at least 1" },
     log = { "log: {failures_per_s: -1, others_per_s: 3}\n", "use 0 or more" },
+    spill_time = { "zone_spill: {min_gain_ms: -1}\n", "use 0 to 60000" },
+    spill_number = { "zone_spill: {byte_cost: .nan}\n", "use 0 to 60000" },
     mistyped = { "tolerated_losses: many\n", "" },
 )]
 fn added_line(line: &str, expected: &str) {
