--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -12,9 +12,7 @@
 use std::time::Duration;
 
 use hornbeam_discovery::{CrashReports, Directory, FeedCounts, ServerUpdate};
-use hornbeam_model::{
-    CrashReport, InstanceId, Mono, RateReport, RequestRate, Routing, ServerId, TableVersion,
-};
+use hornbeam_model::{CrashReport, InstanceId, Mono, RateReport, Routing, ServerId, TableVersion};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -19,6 +19,7 @@
 //! - `contact`: since when a majority of the controllers has stated its table version
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - [`metrics`]: Prometheus metrics
+//! - `zone_traffic`: counts what is exchanged with the servers of each zone
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
@@ -37,6 +38,7 @@
 pub mod response;
 pub mod run;
 mod team_fields;
+mod zone_traffic;
 
 pub use dialect::Dialect;
 pub use run::run;
--- a/crates/hornbeam_settings/src/lib.rs
+++ b/crates/hornbeam_settings/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod settings;
 
 pub use error::SettingsError;
-pub use fleet::{FleetSettings, LogRates, RetryBudgetSettings, RevocationSettings};
+pub use fleet::{
+    FleetSettings, LogRates, RetryBudgetSettings, RevocationSettings, ZoneSpillSettings,
+};
 pub use secret::Secret;
 pub use settings::{Peer, Role, Settings};
