The engine obeys evacuations of zones and the regions of routes

Cause: an operator cannot take load off the servers of a zone, and a route cannot be limited to regions. Change: Input::ZoneOrders states the evacuated zones with the log index of the latest order; a lower index changes nothing. Engine::may_use decides for first attempts, queued shards, hedges, retries, probes, relays, checks of ended servers and attempts whose connection is being opened. Idle connections are closed. After the end the servers are cold for the warm-up of their service. Route regions limit servers, groups and relays in the same function.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -194,6 +194,9 @@
         let stream = match reused.take() {
             Some(stream) => Some(stream),
             None => {
+                if !core.with_engine(|e| e.may_send(core.clock.now(), attempt.id)) {
+                    return Exchange::without_response(AttemptOutcome::Withheld);
+                }
                 core.metrics.connects.inc();
                 connect(attempt.address).await
             }
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -178,7 +178,7 @@
         self.update_initial_sync(feeds);
         let now = self.clock.now();
         let servers = self.with_engine(|e| ServerReach {
-            usable: e.usable_servers(),
+            usable: e.count_servers_in_use(),
             unreachable: e.unreachable_servers(),
             other_zones_lost: e.other_zones_lost(now),
         });
@@ -416,6 +416,8 @@
             Decision::Restored { .. } => "restored",
             Decision::ZoneUnreachable { .. } => "zone_unreachable",
             Decision::ZoneRestored { .. } => "zone_restored",
+            Decision::ZoneEvacuated { .. } => "zone_evacuated",
+            Decision::ZoneReturned { .. } => "zone_returned",
             Decision::ServersLost { .. } => {
                 self.metrics.detached.set(1);
                 "servers_lost"
--- a/crates/hornbeam_model/src/ids.rs
+++ b/crates/hornbeam_model/src/ids.rs
@@ -217,6 +217,12 @@
     "query id"
 );
 
+number_id!(
+    /// Position in the control log of an order about a zone; 0 before the first order.
+    OrderIndex,
+    u64,
+    "order index"
+);
 number_id!(
     /// Version of the routing table; increases in steps of any size.
     TableVersion,
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod shards;
 pub mod team;
 pub mod time;
+pub mod zone_orders;
 
 pub use change::{Change, ChangeError};
 pub use config::{Budgets, Config, ConfigError, Limits, Prefer, Service};
@@ -40,9 +41,9 @@
 pub use fingerprint::Fingerprint;
 pub use hit::Hit;
 pub use ids::{
-    AttemptId, ChangeId, IdError, Incarnation, IndexVersion, InstanceId, QueryId, Region,
-    RequestId, Revision, RouteId, SchemaVersion, ServerId, ServiceId, ShardId, TableVersion,
-    TeamId, Zone,
+    AttemptId, ChangeId, IdError, Incarnation, IndexVersion, InstanceId, OrderIndex, QueryId,
+    Region, RequestId, Revision, RouteId, SchemaVersion, ServerId, ServiceId, ShardId,
+    TableVersion, TeamId, Zone,
 };
 pub use patience::{Patience, PatienceWindow};
 pub use policy::{TrafficPolicy, WarmUp};
@@ -57,3 +58,4 @@
 pub use shards::{ShardRange, ShardRanges};
 pub use team::{KeyDigest, Team};
 pub use time::Mono;
+pub use zone_orders::{ZoneOrder, ZoneOrders};
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -3,7 +3,8 @@
 use std::fmt::Display;
 
 use hornbeam_model::{
-    AttemptId, Fingerprint, InstanceId, RequestRate, RouteId, ServerId, ServiceId, TableVersion,
+    AttemptId, Fingerprint, InstanceId, OrderIndex, RequestRate, RouteId, ServerId, ServiceId,
+    TableVersion, Zone,
 };
 use serde::{Serialize, Serializer};
 use smol_str::SmolStr;
@@ -183,6 +184,10 @@
     ZoneUnreachable { zone: SmolStr },
     /// A server of an unreachable zone responded.
     ZoneRestored { zone: SmolStr },
+    /// An operator ordered that nothing is sent to the `servers` of a zone any more.
+    ZoneEvacuated { zone: Zone, index: OrderIndex, servers: usize },
+    /// The evacuation of a zone has ended: its `servers` are used again.
+    ZoneReturned { zone: Zone, index: OrderIndex, servers: usize },
     /// This entry reaches no server: `silent` of the `usable` ones have not responded to it, and no
     /// other one has responded meanwhile.
     ServersLost { silent: usize, usable: usize },
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -9,6 +9,7 @@
 
 use super::{Completion, Engine, Output};
 use crate::decision::Decision;
+use crate::region_rule::RegionRule;
 use crate::request::{Refusal, RefusalKind, RunningRequest, answer_by};
 
 /// Retry delay sent to a caller when no estimate of the wait is available.
@@ -79,9 +80,11 @@
             return self.refuse_on_arrival(now, arrival, None, RefusalKind::NoRoute, None, out);
         };
         let services = self.services_for(&route);
-        let delegates = self.should_delegate(&route, &services);
+        // The regions of the caller's team are added here.
+        let regions = self.region_rule(&route.name, None);
+        let delegates = self.should_delegate(&route, &services, &regions);
         let may_need_relay = self.may_need_relay();
-        let needs_relay = |s: &usize| may_need_relay && self.needs_relay(now, *s);
+        let needs_relay = |s: &usize| may_need_relay && self.needs_relay(now, *s, &regions);
         let beyond_reach: Vec<bool> = services.iter().map(needs_relay).collect();
         let relayed = beyond_reach.iter().filter(|r| **r).count();
         self.demand.record(now, 1.0 - relayed as f64 / services.len().max(1) as f64);
@@ -100,8 +103,9 @@
             let (kind, wait) = (RefusalKind::Quarantined, Some(until.since(now)));
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
+        let own_shards = min_shards.saturating_sub(relayed);
         if let Some((kind, wait)) =
-            self.admission_refusal(now, &route, &own, min_shards.saturating_sub(relayed), delegates)
+            self.admission_refusal(now, &route, &own, own_shards, delegates, &regions)
         {
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
@@ -116,6 +120,7 @@
             answer_by,
             min_shards,
             fingerprint: arrival.fingerprint,
+            regions,
             ..RunningRequest::new(arrival.key, arrival.id, route, services)
         };
         let key = running.key;
@@ -154,11 +159,12 @@
         services: &[usize],
         min_shards: usize,
         delegates: bool,
+        regions: &RegionRule,
     ) -> Option<(RefusalKind, Option<Duration>)> {
         if self.requests.len() >= self.params.max_in_flight {
             return Some((RefusalKind::Overloaded, None));
         }
-        let prospects = self.prospects(now, route, services, delegates);
+        let prospects = self.prospects(now, route, services, delegates, regions);
         if prospects.reachable() < min_shards {
             return Some((RefusalKind::NoServer, prospects.time_until(min_shards)));
         }
@@ -177,6 +183,7 @@
         route: &Route,
         services: &[usize],
         delegates: bool,
+        regions: &RegionRule,
     ) -> Prospects {
         let mut prospects = Prospects::default();
         for position in services {
@@ -184,14 +191,15 @@
             if service.servers.is_empty() {
                 continue;
             }
-            if let Some(time) = self.beyond_reach_for(now, *position) {
+            let barred = self.barred_for(*position, regions);
+            if let Some(time) = barred.or_else(|| self.beyond_reach_for(now, *position, regions)) {
                 prospects.unavailable_for.push(time);
                 continue;
             }
-            let wait = self.expected_wait(now, *position, route.priority);
+            let wait = self.expected_wait(now, *position, route.priority, regions);
             let mut wait = wait.max(service.reported_wait(now));
             if !delegates {
-                wait = wait.max(self.expected_rate_wait(now, *position, route.priority));
+                wait = wait.max(self.expected_rate_wait(now, *position, route.priority, regions));
             }
             if wait <= max_wait(route, service.mean_latency()) {
                 prospects.in_time += 1;
@@ -203,21 +211,29 @@
     }
 
     /// Returns the expected wait for capacity at the servers of a service.
-    pub(super) fn expected_wait(&self, now: Mono, service: usize, priority: u8) -> Duration {
+    pub(super) fn expected_wait(
+        &self,
+        now: Mono,
+        service: usize,
+        priority: u8,
+        regions: &RegionRule,
+    ) -> Duration {
+        let available = self.allowed_servers(service, regions).filter(|s| !s.is_paused(now));
         let service = &self.services[service];
-        let available =
-            service.servers.iter().map(|s| &self.servers[*s]).filter(|s| !s.is_paused(now));
         let places: u32 = available.map(|s| s.limit()).sum();
         service.expected_wait(priority, places.min(service.limit()))
     }
 
-    /// Returns the time until the first server of a service is available, if all are ejected,
-    /// paused or in lost zones.
-    pub(super) fn unavailable_for(&self, now: Mono, service: usize) -> Option<Duration> {
-        let servers = self.services[service].servers.iter();
+    /// Returns the time until the first server of a service that may be used is available, if all these
+    /// are ejected, paused or in lost zones.
+    pub(super) fn unavailable_for(
+        &self,
+        now: Mono,
+        service: usize,
+        regions: &RegionRule,
+    ) -> Option<Duration> {
         let mut soonest = Mono::MAX;
-        for idx in servers {
-            let server = &self.servers[*idx];
+        for server in self.allowed_servers(service, regions) {
             let lost = self.zones.is_lost(now, &server.zone);
             let next_probe = self.zones.next_probe(&server.zone).filter(|_| lost);
             let until = server.unavailable_until(now).max(next_probe)?;
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -40,6 +40,7 @@
             Some(key) => self.apply_outcome(now, key, &in_flight, attempt, outcome, out),
             None => out.push(Output::Discard(attempt)),
         }
+        self.close_if_evacuated(in_flight.server, out);
         self.release_position(in_flight.server);
         self.dispatch_waiters(now, service, out);
     }
@@ -106,6 +107,10 @@
     }
 
     fn record_zone_silence(&mut self, now: Mono, server: usize, sent_at: Mono) {
+        // The end of a server that was evacuated says nothing about the links to it.
+        if self.servers[server].evacuated {
+            return;
+        }
         let usual = self.services[self.servers[server].service].mean_latency();
         let zone = self.servers[server].zone.clone();
         let confirm_at = self.zones.record_silence(now, &zone, server, sent_at, usual);
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -132,7 +132,7 @@
         discard_all(&running, out);
         let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
         let delegates = !running.groups.is_empty();
-        let prospects = self.prospects(now, &running.route, &services, delegates);
+        let prospects = self.prospects(now, &running.route, &services, delegates, &running.regions);
         let wait = self
             .quarantine_of(now, &running)
             .map(|until| until.since(now))
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -14,6 +14,7 @@
 
 use super::{Engine, InFlightAttempt, Output};
 use crate::decision::Decision;
+use crate::region_rule::RegionRule;
 use crate::server::Server;
 
 /// Other servers that a check connects to at most, one after the other.
@@ -92,6 +93,9 @@
         in_flight: &InFlightAttempt,
         out: &mut Vec<Output>,
     ) {
+        if !self.may_use(in_flight.server, &RegionRule::default()) {
+            return;
+        }
         let fingerprint = self.run_fingerprint(in_flight);
         let span = RunSpan { began: in_flight.sent_at.0 as i64, ended: now.0 as i64 };
         let server = &self.servers[in_flight.server];
@@ -108,7 +112,10 @@
     /// that are ejected, since these may have ended as well. If none accepts one either, the links of
     /// this entry are at fault.
     fn witnesses(&self, checked: usize) -> Vec<(ServerId, SocketAddr)> {
-        let others = self.servers.iter().enumerate().filter(|(i, s)| *i != checked && s.usable);
+        let others =
+            self.servers.iter().enumerate().filter(|(i, s)| {
+                *i != checked && s.usable && self.may_use(*i, &RegionRule::default())
+            });
         let mut others: Vec<&Server> = others.map(|(_, s)| s).collect();
         others.sort_by_key(|s| (s.is_ejected(), Reverse(s.answered_at())));
         others.into_iter().take(WITNESSES).map(|s| (s.id.clone(), s.address)).collect()
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -17,6 +17,7 @@
 use super::{Delegation, Engine, GroupEvent, GroupReport, MAX_TIMER_DELAY, Output};
 use crate::decision::{Decision, GroupFailure};
 use crate::peers::{Gatherer, Peer};
+use crate::region_rule::RegionRule;
 use crate::request::{RunningRequest, ShardStatus};
 use crate::service::Service;
 
@@ -57,8 +58,14 @@
 impl Engine {
     /// Returns true if other entries should gather the shards of a search: if there are too many to
     /// send in time, or so many entries that their attempts would queue at the servers for too long.
-    pub(super) fn should_delegate(&self, route: &Route, services: &[usize]) -> bool {
+    pub(super) fn should_delegate(
+        &self,
+        route: &Route,
+        services: &[usize],
+        regions: &RegionRule,
+    ) -> bool {
         matches!(route.target, Target::Scatter(_))
+            && self.may_gather_here(regions)
             && self.peers.usable() > 0
             && (services.len() > self.params.delegate_above || self.is_crowded(route, services))
     }
@@ -113,9 +120,10 @@
     fn send_own_group(&mut self, now: Mono, key: QueryId, shards: &[usize], out: &mut Vec<Output>) {
         let Some(running) = self.requests.get(&key) else { return };
         let may_need_relay = self.may_need_relay();
+        let regions = running.regions.clone();
         for shard in shards {
             let service = running.shards[*shard].service;
-            if !(may_need_relay && self.needs_relay(now, service)) {
+            if !(may_need_relay && self.needs_relay(now, service, &regions)) {
                 self.services[service].record_request(now);
             }
         }
--- a/crates/hornbeam_route/src/engine/detachment.rs
+++ b/crates/hornbeam_route/src/engine/detachment.rs
@@ -10,6 +10,7 @@
 
 use super::{Engine, Output, Timer};
 use crate::decision::Decision;
+use crate::region_rule::RegionRule;
 use crate::request::ShardStatus;
 
 /// Servers that are probed at once, since some of them may be down.
@@ -88,6 +89,7 @@
         let count = self.servers.len();
         let from = self.next_probed;
         let usable = (0..count).map(|n| (from + n) % count).filter(|i| self.servers[*i].usable);
+        let usable = usable.filter(|i| self.may_use(*i, &RegionRule::default()));
         let probed: Vec<usize> = usable.take(PROBED_SERVERS).collect();
         self.next_probed = probed.last().map_or(0, |i| i + 1);
         for idx in probed {
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -64,6 +64,7 @@
             answer_by: now + group.due_in,
             fingerprint: group.fingerprint,
             gather: Some(GatherState::default()),
+            regions: self.region_rule(&group.route.name, None),
             ..RunningRequest::new(key, group.id, group.route, services)
         };
         if is_relay && let Some(refusal) = self.relay_refusal(now, &running) {
@@ -174,7 +175,9 @@
         let Some(running) = self.requests.get(&key) else { return Vec::new() };
         let is_unsent = |s: &ShardProgress| {
             let received = matches!(s.status, ShardStatus::Received(_));
-            !received && s.possible_runs == 0 && self.all_out_of_reach(now, s.service)
+            !received
+                && s.possible_runs == 0
+                && self.all_out_of_reach(now, s.service, &running.regions)
         };
         let shards = running.shards.iter().enumerate();
         shards.filter(|(_, s)| is_unsent(s)).map(|(i, _)| i).collect()
@@ -209,11 +212,9 @@
     /// Returns the shards of a group whose queue is not empty, and the expected wait.
     fn queue_waits(&self, now: Mono, key: QueryId) -> Vec<(usize, Duration)> {
         let Some(running) = self.requests.get(&key) else { return Vec::new() };
-        let waits = running
-            .shards
-            .iter()
-            .enumerate()
-            .map(|(i, s)| (i, self.expected_wait(now, s.service, running.route.priority)));
+        let waits = running.shards.iter().enumerate().map(|(i, s)| {
+            (i, self.expected_wait(now, s.service, running.route.priority, &running.regions))
+        });
         waits.filter(|(_, wait)| !wait.is_zero()).collect()
     }
 
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -97,8 +97,9 @@
         }
         let (service, tried) = (progress.service, progress.tried.clone());
         let (request, due) = (running.id.clone(), running.answer_by);
-        let ServerChoice::Server(server, cost) = self.choose_server(now, service, &tried, due)
-        else {
+        let regions = running.regions.clone();
+        let choice = self.choose_server(now, service, &tried, due, &regions);
+        let ServerChoice::Server(server, cost) = choice else {
             return false;
         };
         if !self.services[service].retry_budget.allows_hedge(now, self.entries) {
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -6,7 +6,7 @@
 
 use hornbeam_model::{
     AttemptId, CrashReport, Fingerprint, Incarnation, InstanceId, QueryId, RateReport, RequestRate,
-    Route, Routing, ServerId, ServiceId, Zone,
+    Route, Routing, ServerId, ServiceId, Zone, ZoneOrders,
 };
 use smol_str::SmolStr;
 
@@ -112,6 +112,8 @@
     Servers(Vec<ServerChange>),
     /// A new routing table is in force.
     Table(Arc<Routing>),
+    /// The zones whose servers are evacuated, as one controller states them.
+    ZoneOrders(ZoneOrders),
     /// Other entries learned that servers are leaving.
     ServersLeaving(Vec<LeavingServer>),
     /// This entry is isolated from the rest of the fleet, or no longer.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! - [`relaying`]: shards and requests that only other entries can reach
 //! - [`gathering`]: shard groups gathered for other entries
 //! - [`startup`]: requests that arrive before the first routing table
+//! - [`zone_rules`]: evacuated zones and allowed regions; decides whether a server may be used
 //! - [`servers`]: changes of servers, routing tables and the number of entries
 
 mod admission;
@@ -31,6 +32,7 @@
 mod relaying;
 mod servers;
 mod startup;
+mod zone_rules;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -64,6 +66,7 @@
 use crate::server::Server;
 use crate::service::Service;
 use crate::split::Splitter;
+use crate::zone_rules::ZoneRules;
 use crate::zones::ZoneReachability;
 
 /// An attempt without an outcome yet.
@@ -125,6 +128,7 @@
     /// Quarantined requests as they were logged last.
     logged_quarantines: Vec<Fingerprint>,
     zones: ZoneReachability,
+    zone_rules: ZoneRules,
     access: ServerAccess,
     /// When the servers of a detached entry may be probed next.
     next_server_probe: Mono,
@@ -174,6 +178,7 @@
             pending_checks: IndexMap::new(),
             logged_quarantines: Vec::new(),
             zones: ZoneReachability::default(),
+            zone_rules: ZoneRules::default(),
             access: ServerAccess::default(),
             next_server_probe: Mono::default(),
             next_probed: 0,
@@ -230,6 +235,7 @@
                     self.zones.reset();
                 }
             }
+            Input::ZoneOrders(orders) => self.on_zone_orders(now, orders, out),
             Input::EntryCount(entries) => self.on_entry_count(now, entries),
             Input::FleetDemand(rate) => {
                 self.demand.set_fleet(rate);
@@ -303,13 +309,13 @@
             return false;
         }
         let servers = self.server_names.values().map(|i| &self.servers[*i]);
-        let mut others = servers.filter(|s| !s.same_zone).peekable();
+        let mut others = servers.filter(|s| !s.same_zone && !s.evacuated).peekable();
         others.peek().is_some() && others.all(|s| self.zones.is_lost(now, &s.zone))
     }
 
     /// Returns the number of servers that are ejected or in an unreachable zone.
     pub fn unreachable_servers(&self) -> usize {
-        let servers = self.server_names.values().map(|i| &self.servers[*i]);
+        let servers = self.servers_in_use();
         servers.filter(|s| s.is_ejected() || self.zones.is_unreachable(&s.zone)).count()
     }
 
--- a/crates/hornbeam_route/src/engine/notices.rs
+++ b/crates/hornbeam_route/src/engine/notices.rs
@@ -10,20 +10,22 @@
 use super::{Engine, InFlightAttempt, Output, Timer};
 use crate::decision::Decision;
 use crate::notice::{LeavingServer, MAX_PAUSE, PauseRequest, ServerNotice};
+use crate::region_rule::RegionRule;
 
 /// Random increase of a pause in percent, so that the entries do not all return at its end.
 const PAUSE_SPREAD_PERCENT: f64 = 25.0;
 
 impl Engine {
     /// Returns true if an attempt may be written to its server now: its response is still needed,
-    /// the server has neither left nor asked for a pause since the attempt was planned, and the
-    /// request is not quarantined.
+    /// the server has neither left, asked for a pause nor been evacuated since the attempt was planned,
+    /// and the request is not quarantined.
     pub fn may_send(&self, now: Mono, attempt: AttemptId) -> bool {
         let Some(in_flight) = self.attempts.get(&attempt) else { return false };
         let server = &self.servers[in_flight.server];
         let quarantined = self.quarantined_until(now, in_flight.fingerprint, server.service);
         in_flight.request.is_some()
             && server.usable
+            && self.may_use(in_flight.server, &RegionRule::default())
             && !server.is_paused(now)
             && quarantined.is_none()
     }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -8,6 +8,7 @@
 
 use super::{Attempt, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::{AttemptKind, Decision};
+use crate::region_rule::RegionRule;
 use crate::request::{RunningRequest, ShardStatus};
 use crate::service::Waiter;
 
@@ -43,7 +44,8 @@
     Server(usize, f64),
     /// The service or all its servers that are not ejected have no capacity.
     AtCapacity,
-    /// All servers are ejected, paused, excluded or in lost zones, or there are none.
+    /// All servers are ejected, paused, excluded, in lost or evacuated zones or in regions that are not
+    /// allowed, or there are none.
     Unavailable,
 }
 
@@ -66,8 +68,9 @@
     ) {
         let Some(running) = self.requests.get(&key) else { return };
         let may_relay = !running.is_group() && self.may_need_relay();
-        let needs_relay =
-            |s: &usize| may_relay && self.needs_relay(now, running.shards[*s].service);
+        let needs_relay = |s: &usize| {
+            may_relay && self.needs_relay(now, running.shards[*s].service, &running.regions)
+        };
         let (relayed, own): (Vec<usize>, Vec<usize>) = shards.iter().partition(|s| needs_relay(s));
         self.relay(now, key, &relayed, None, out);
         if self.is_detached() {
@@ -114,7 +117,8 @@
         let Some(running) = self.requests.get(&key) else { return true };
         let progress = &running.shards[shard];
         let (service, tried, due) = (progress.service, progress.tried.clone(), running.answer_by);
-        match self.choose_server_or_tried(now, service, &tried, due) {
+        let regions = running.regions.clone();
+        match self.choose_server_or_tried(now, service, &tried, due, &regions) {
             ServerChoice::Server(server, cost) => {
                 self.send_if_allowed(now, (key, shard), (server, cost), out)
             }
@@ -134,10 +138,11 @@
         service: usize,
         tried: &[usize],
         due: Mono,
+        regions: &RegionRule,
     ) -> ServerChoice {
-        match self.choose_server(now, service, tried, due) {
+        match self.choose_server(now, service, tried, due, regions) {
             ServerChoice::Unavailable if !tried.is_empty() => {
-                self.choose_server(now, service, &[], due)
+                self.choose_server(now, service, &[], due, regions)
             }
             choice => choice,
         }
@@ -199,8 +204,10 @@
         let Some(running) = self.requests.get_mut(&key) else { return };
         let progress = &mut running.shards[shard];
         let (service, attempts) = (progress.service, progress.attempts);
+        let regions = running.regions.clone();
         progress.not_awaited = others_suffice;
         let mut servers = self.services[service].servers.clone();
+        servers.retain(|s| self.may_use(*s, &regions));
         servers.retain(|s| !self.servers[*s].is_paused(now) && self.within_rate(now, *s));
         let probe = servers.iter().copied().find(|s| self.servers[*s].start_probe_if_due(now));
         let required = || {
@@ -235,6 +242,7 @@
         service: usize,
         exclude: &[usize],
         due: Mono,
+        regions: &RegionRule,
     ) -> ServerChoice {
         if !self.services[service].has_capacity() {
             return ServerChoice::AtCapacity;
@@ -247,6 +255,9 @@
         let mut full = false;
         for position in 0..self.services[service].servers.len() {
             let idx = self.services[service].servers[position];
+            if !self.may_use(idx, regions) {
+                continue;
+            }
             let server = &mut self.servers[idx];
             if exclude.contains(&idx)
                 || server.is_paused(now)
@@ -318,13 +329,13 @@
     pub(super) fn dispatch_waiters(&mut self, now: Mono, service: usize, out: &mut Vec<Output>) {
         self.drop_late_waiters(now, service, out);
         while let Some(first) = self.services[service].next_waiter() {
-            let tried =
-                self.requests.get(&first.request).map(|r| r.shards[first.shard].tried.clone());
-            let Some(tried) = tried else {
+            let Some(running) = self.requests.get(&first.request) else {
                 self.services[service].waiters.remove(&first);
                 continue;
             };
-            match self.choose_server_or_tried(now, service, &tried, first.due) {
+            let tried = running.shards[first.shard].tried.clone();
+            let regions = running.regions.clone();
+            match self.choose_server_or_tried(now, service, &tried, first.due, &regions) {
                 ServerChoice::Server(server, cost) => {
                     self.services[service].waiters.remove(&first);
                     let (key, shard) = (first.request, first.shard);
--- a/crates/hornbeam_route/src/engine/rates.rs
+++ b/crates/hornbeam_route/src/engine/rates.rs
@@ -11,6 +11,7 @@
 use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::Decision;
 use crate::notice::RateNotice;
+use crate::region_rule::RegionRule;
 
 impl Engine {
     /// Returns the rates that servers state, with the demand for each at this entry. The reported
@@ -126,9 +127,15 @@
     /// Returns the expected time until the rates of the servers of a service allow another request
     /// of this entry after those that are queued. Zero if a server that is neither ejected nor
     /// paused states no rate.
-    pub(super) fn expected_rate_wait(&self, now: Mono, service: usize, priority: u8) -> Duration {
+    pub(super) fn expected_rate_wait(
+        &self,
+        now: Mono,
+        service: usize,
+        priority: u8,
+        regions: &RegionRule,
+    ) -> Duration {
+        let servers = self.allowed_servers(service, regions);
         let service = &self.services[service];
-        let servers = service.servers.iter().map(|i| &self.servers[*i]);
         let available: Vec<_> = servers.filter(|s| !s.is_paused(now) && !s.is_ejected()).collect();
         if !available.iter().all(|s| s.rate_limited) {
             return Duration::ZERO;
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -15,6 +15,7 @@
 use super::admission::DEFAULT_RETRY_AFTER;
 use super::{Engine, Output, group_size};
 use crate::decision::Decision;
+use crate::region_rule::RegionRule;
 use crate::request::{Refusal, RefusalKind, RunningRequest, ShardStatus};
 use crate::server::Server;
 
@@ -30,11 +31,16 @@
 
 impl Engine {
     /// Returns the time until a server of a service may be reachable from here, if none is now.
-    pub(super) fn beyond_reach_for(&self, now: Mono, service: usize) -> Option<Duration> {
+    pub(super) fn beyond_reach_for(
+        &self,
+        now: Mono,
+        service: usize,
+        regions: &RegionRule,
+    ) -> Option<Duration> {
         if self.is_detached() {
             return Some(DEFAULT_RETRY_AFTER);
         }
-        self.unavailable_for(now, service)
+        self.unavailable_for(now, service, regions)
     }
 
     /// Returns false if this entry reaches all its servers, as far as is known. Asked once for many
@@ -53,20 +59,21 @@
         links_failed && !server.is_paused(now)
     }
 
-    /// Returns true if the links to all servers of a service have failed.
-    pub(super) fn all_out_of_reach(&self, now: Mono, service: usize) -> bool {
-        let mut servers = self.services[service].servers.iter();
-        servers.all(|s| self.is_out_of_reach(now, &self.servers[*s]))
+    /// Returns true if the links to all servers of a service that may be used have failed, and there are
+    /// some. No entry may use the others.
+    pub(super) fn all_out_of_reach(&self, now: Mono, service: usize, regions: &RegionRule) -> bool {
+        let mut servers = self.allowed_servers(service, regions).peekable();
+        servers.peek().is_some() && servers.all(|s| self.is_out_of_reach(now, s))
     }
 
     /// Returns true if another entry may reach the servers of a service, and this one reaches none.
-    pub(super) fn needs_relay(&self, now: Mono, service: usize) -> bool {
+    pub(super) fn needs_relay(&self, now: Mono, service: usize, regions: &RegionRule) -> bool {
         let known = &self.services[service];
         !known.servers.is_empty()
             && now >= known.unservable_until()
             && self.peers.can_relay()
-            && self.beyond_reach_for(now, service).is_some()
-            && self.all_out_of_reach(now, service)
+            && self.beyond_reach_for(now, service, regions).is_some()
+            && self.all_out_of_reach(now, service, regions)
     }
 
     /// Returns true if a shard that has failed here should be relayed: if this entry reaches none of
@@ -83,7 +90,7 @@
             && progress.tried.iter().all(refused);
         let may_ask =
             || self.peers.can_relay() && now >= self.services[progress.service].unservable_until();
-        self.needs_relay(now, progress.service) || (all_refused && may_ask())
+        self.needs_relay(now, progress.service, &running.regions) || (all_refused && may_ask())
     }
 
     /// Relays shards of a request to other entries; those that no entry can take are missing.
@@ -138,7 +145,7 @@
         tried: Option<&InstanceId>,
         out: &mut Vec<Output>,
     ) {
-        let Some(peer) = self.peers.choose_relay(tried, &mut self.rng) else {
+        let Some(peer) = self.choose_relay(key, tried) else {
             for shard in shards {
                 self.mark_missing(key, *shard);
             }
@@ -307,7 +314,10 @@
         let quarantine = self.quarantined_below(now, running.fingerprint, &services, min_shards);
         let (kind, wait) = match quarantine {
             Some(until) => (RefusalKind::Quarantined, Some(until.since(now))),
-            None => self.admission_refusal(now, &running.route, &services, min_shards, false)?,
+            None => {
+                let (route, regions) = (&running.route, &running.regions);
+                self.admission_refusal(now, route, &services, min_shards, false, regions)?
+            }
         };
         Some(Refusal { kind, retry_after: self.retry_after(kind, wait) })
     }
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -75,6 +75,7 @@
             s.pause(*until);
         }
         s.rate_limited = self.rate_limits.in_force(&s.id, incarnation).is_some();
+        self.apply_zone_rules(&zone, idx);
         if !self.services[position].servers.contains(&idx) {
             self.services[position].servers.push(idx);
         }
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`service`]: servers and request queue of one service
 //! - [`request`]: state of one running request
 //! - `silence`: detects that a set of servers has become silent together
+//! - `region_rule`: regions in which a request may be handled
+//! - `zone_rules`: evacuated zones, and the regions of zones
 //! - [`zones`]: detects that a whole zone has become unreachable
 //! - [`split`]: weighted distribution of requests over services
 //! - [`merge`]: merges the records of shard responses into one ranking
@@ -32,11 +34,13 @@
 pub mod peers;
 pub mod rate_limit;
 mod rate_meter;
+mod region_rule;
 pub mod request;
 pub mod server;
 pub mod service;
 mod silence;
 pub mod split;
+mod zone_rules;
 pub mod zones;
 
 pub use budget::{RetryBudget, RetryBudgetParams};
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -155,9 +155,16 @@
 
     /// Chooses the entry that gathers what this entry cannot reach, and counts the group as delegated
     /// to it: the one with the fewest groups of this entry, if possible in this zone. `tried` could
-    /// not gather the group, so an entry of another zone than its own is more likely to.
-    pub fn choose_relay(&mut self, tried: Option<&InstanceId>, rng: &mut SmallRng) -> Option<Peer> {
+    /// not gather the group, so an entry of another zone than its own is more likely to. Only entries of
+    /// zones that `may_handle` allows are chosen.
+    pub fn choose_relay(
+        &mut self,
+        tried: Option<&InstanceId>,
+        rng: &mut SmallRng,
+        may_handle: impl Fn(&Zone) -> bool,
+    ) -> Option<Peer> {
         let usable = (0..self.peers.len()).filter(|i| self.peers[*i].is_usable());
+        let usable = usable.filter(|i| may_handle(&self.peers[*i].peer.zone));
         let tried = tried.and_then(|name| self.peers.get(name)).map(|p| &p.peer);
         let least = usable.min_by_key(|i| {
             let state = &self.peers[*i];
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 
 use crate::notice::LeavingServer;
+use crate::region_rule::RegionRule;
 
 /// Reserve for the network round trip between the caller and this entry.
 const ROUND_TRIP_RESERVE: Duration = Duration::from_millis(6);
@@ -194,6 +195,8 @@
     pub fingerprint: Fingerprint,
     /// Matched route, from the table version in force on arrival.
     pub route: Arc<Route>,
+    /// Regions whose servers and entries may handle it.
+    pub regions: RegionRule,
     /// Table version of the route; the whole request uses this version.
     pub table: TableVersion,
     /// Arrival time.
@@ -234,6 +237,7 @@
             id,
             fingerprint: Fingerprint::default(),
             route,
+            regions: RegionRule::default(),
             table: TableVersion(0),
             arrived: Mono::default(),
             deadline: Mono::default(),
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hornbeam_model::{AttemptId, Incarnation, Mono, ServerId};
+use hornbeam_model::{AttemptId, Incarnation, Mono, Region, ServerId};
 use smol_str::SmolStr;
 
 /// Weight of one latency sample in the moving average of a server's slowness.
@@ -66,6 +66,10 @@
     pub service: usize,
     /// Name of its availability zone.
     pub zone: SmolStr,
+    /// Region of its zone, if it is known.
+    pub region: Option<Region>,
+    /// True while an operator has ordered that nothing is sent to the servers of its zone.
+    pub evacuated: bool,
     /// True if the server is in the zone of this entry.
     pub same_zone: bool,
     /// Number of requests that it processes concurrently; at least 1.
@@ -107,6 +111,8 @@
             address,
             service,
             zone: SmolStr::default(),
+            region: None,
+            evacuated: false,
             same_zone: false,
             slots: 1,
             usable: true,
@@ -172,6 +178,13 @@
         self.consecutive_failures = 0;
     }
 
+    /// Uses the server again after an evacuation, like one that has just started: it may be another
+    /// process by now, and its concurrency limit grows from one.
+    pub fn return_from_evacuation(&mut self) {
+        self.end_ejection();
+        self.limit = 1.0;
+    }
+
     /// Returns the time of the last successful response.
     pub fn answered_at(&self) -> Mono {
         self.answered_at
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod routes;
 mod sim_server;
 mod sites;
+mod zone_orders;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
@@ -35,6 +36,7 @@
 pub use sites::{
     CHECKS_PER_SECOND, CONSORTIUM, FURNACE, HANAK, SWEEPS_PER_SECOND, Site, run_searches, warm_up,
 };
+pub use zone_orders::zone_orders;
 
 /// One-way network latency between two instances.
 const ONE_WAY_LATENCY: Duration = Duration::from_micros(400);
