Settings list the zones with their regions

Cause: entries and controllers do not know which zones there are, nor their regions. Change: optional zones (zone to region) and region in the settings of entries and controllers, filled in by the templates. A null map or an empty region counts as absent. Result: a settings file without them is read as before.

--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -7,8 +7,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use hornbeam_model::{InstanceId, Zone};
-use serde::Deserialize;
+use hornbeam_model::{InstanceId, Region, Zone};
+use indexmap::IndexMap;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 use snafu::ResultExt;
 
 use crate::error::{ReadSnafu, SettingsError};
@@ -109,6 +111,13 @@
     /// Maximum rates of structured log lines.
     #[serde(default)]
     pub log: LogRates,
+    /// Region of each availability zone; empty if the deployment has no regions. Zones without an entry
+    /// have an unknown region.
+    #[serde(default, deserialize_with = "zone_map")]
+    pub zones: IndexMap<Zone, Region>,
+    /// Region of this process, for a zone that `zones` leaves out; none if absent or empty.
+    #[serde(default, deserialize_with = "optional_region")]
+    pub region: Option<Region>,
     /// Number of shards above which a search is delegated in groups to other entries of the zone.
     #[serde(default = "default_delegate_above")]
     pub delegate_above: usize,
@@ -117,6 +126,20 @@
     pub memory_mb: u32,
 }
 
+/// Reads a map that may be null, as a template fills it in for a deployment without zones.
+fn zone_map<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<IndexMap<Zone, Region>, D::Error> {
+    Ok(Option::deserialize(deserializer)?.unwrap_or_default())
+}
+
+/// Reads a region that may be null or empty, as a template fills it in for a deployment without regions.
+fn optional_region<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Region>, D::Error> {
+    let text: Option<String> = Option::deserialize(deserializer)?;
+    let named = text.filter(|t| !t.is_empty()).map(|t| t.parse());
+    named.transpose().map_err(D::Error::custom)
+}
+
 fn default_delegate_above() -> usize {
     DEFAULT_DELEGATE_ABOVE_SHARDS
 }
@@ -177,6 +200,15 @@
         Ok(())
     }
 
+    /// Returns the region of each zone, with that of this process.
+    pub fn zone_regions(&self) -> IndexMap<Zone, Region> {
+        let mut regions = self.zones.clone();
+        if let Some(region) = &self.region {
+            regions.entry(self.zone.clone()).or_insert_with(|| region.clone());
+        }
+        regions
+    }
+
     /// Returns the name under which controllers know this process: its address.
     pub fn inner_name(&self) -> Option<InstanceId> {
         inner_name(self.address)
