The control log holds the orders about zones

Cause: an order to evacuate a zone has to be as durable as a routing table, and builds before it cannot read it. Change: Command::ZoneOrder is appended to the log entries. Each order gets a log entry, so that an outdated leader acknowledges nothing. Raft::caught_up_at tells when the state last held everything committed. A controller's heartbeat is followed by what the controller reads and the zones it has seen. FeedDown::ZoneOrders.

--- a/crates/hornbeam_control/src/lib.rs
+++ b/crates/hornbeam_control/src/lib.rs
@@ -1,11 +1,13 @@
 //! Replicated log of configuration changes.
 //!
 //! - [`state`]: replicated state, to which committed entries are applied
+//! - [`encoding`]: encoding of the replicated state in snapshots
 //! - [`log`]: log entries after the latest snapshot
 //! - [`raft`]: consensus state machine: elections, replication and membership changes
 //! - [`voter`]: the state machine together with its disk
 //! - [`follower`]: distribution of the configuration to every instance, without ever going back
 
+pub mod encoding;
 pub mod follower;
 pub mod log;
 pub mod raft;
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -15,6 +15,7 @@
 //! - [`snapshot`]: log compaction and snapshot transfer
 //! - [`proposal`]: configuration changes, routing tables and voter replacements
 //! - [`repair`]: automatic addition and replacement of voters
+//! - [`zone_orders`]: orders about availability zones
 //! - [`types`]: inputs, outputs and writes
 
 mod election;
@@ -24,6 +25,7 @@
 mod replication;
 mod snapshot;
 mod types;
+mod zone_orders;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +40,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::encoding::decode_state;
 use crate::log::Log;
 use crate::state::ControlState;
 
@@ -188,6 +191,8 @@
     /// Last entry that each disk has acknowledged to this instance as leader.
     acknowledged: IndexMap<DiskId, LogPos>,
     identity: identity::IdentityCheck,
+    /// When the state last held everything that was committed.
+    caught_up_at: Option<Mono>,
     /// Snapshot transfer in progress.
     incoming_snapshot: Option<snapshot::IncomingSnapshot>,
 }
@@ -196,8 +201,7 @@
     /// Creates an unverified instance from the state recovered from its disk.
     pub fn new(now: Mono, params: RaftParams, recovered: RecoveredState) -> Self {
         let log = Log::new(recovered.snapshot.last, recovered.entries);
-        let state: ControlState =
-            postcard::from_bytes(&recovered.snapshot_data).unwrap_or_default();
+        let state: ControlState = decode_state(&recovered.snapshot_data).unwrap_or_default();
         let mut raft = Self {
             rng: SmallRng::seed_from_u64(params.seed),
             disk: recovered.identity.disk,
@@ -220,6 +224,7 @@
             boots: recovered.boots,
             acknowledged: IndexMap::new(),
             identity: identity::IdentityCheck::default(),
+            caught_up_at: None,
             incoming_snapshot: None,
             params,
         };
--- a/crates/hornbeam_control/src/raft/proposal.rs
+++ b/crates/hornbeam_control/src/raft/proposal.rs
@@ -10,7 +10,7 @@
 use crate::state::ProposalOutcome;
 
 /// Maximum number of log entries whose proposals wait for commit.
-const MAX_PENDING_PROPOSALS: usize = 1_024;
+pub(super) const MAX_PENDING_PROPOSALS: usize = 1_024;
 
 impl Raft {
     pub(super) fn on_propose(
@@ -26,6 +26,7 @@
         let outcome = match proposal {
             Proposal::Change(command) => self.propose_change(now, id, command, out),
             Proposal::Routing(routing) => self.propose_routing(now, id, routing, out),
+            Proposal::ZoneOrder(order) => self.propose_zone_order(now, id, order, out),
             Proposal::Replace { outgoing, incoming } => {
                 self.propose_replacement(now, id, outgoing, incoming, out)
             }
@@ -109,7 +110,7 @@
     }
 
     /// Reports the outcome of proposal `id` when the entry at `index` is applied.
-    fn track_proposal(&mut self, index: LogIndex, id: ProposalId) {
+    pub(super) fn track_proposal(&mut self, index: LogIndex, id: ProposalId) {
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.pending_proposals.entry(index).or_default().push(id);
         }
--- a/crates/hornbeam_control/src/raft/replication.rs
+++ b/crates/hornbeam_control/src/raft/replication.rs
@@ -166,6 +166,7 @@
         self.append_new_entries(entries, out);
         let matched = last_new.max(self.commit_index);
         self.commit_to(commit.min(matched), out);
+        self.record_caught_up(commit);
         self.send(from, reply(true, matched), out);
     }
 
@@ -368,6 +369,9 @@
                     out.push(RaftOutput::Decided { id, outcome });
                 }
             }
+            Command::ZoneOrder(order) => {
+                self.apply_zone_order(entry.index, order, proposals, out);
+            }
             Command::Members(members) => {
                 let voters: Vec<&str> = members.voters.keys().map(|v| v.as_str()).collect();
                 let voters = SmolStr::new(voters.join(", "));
@@ -402,6 +406,7 @@
         let Some((round, at)) = latest.copied() else { return };
         debug_assert!(at <= now, "a round is sent before it is acknowledged");
         out.push(RaftOutput::Confirmed(at));
+        self.caught_up_at = Some(at);
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.unconfirmed_rounds.retain(|(r, _)| *r > round);
         }
--- a/crates/hornbeam_control/src/raft/snapshot.rs
+++ b/crates/hornbeam_control/src/raft/snapshot.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Compaction, Persist, Raft, RaftOutput};
-use crate::state::ControlState;
+use crate::encoding::{decode_state, encode_state};
 
 /// Size of a snapshot chunk in one message, in bytes.
 const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
@@ -55,7 +55,7 @@
         let index = self.applied_index;
         let Some(term) = self.log.term_at(index) else { return };
         let last = LogPos { term, index };
-        let Ok(data) = postcard::to_allocvec(&self.state) else { return };
+        let Ok(data) = encode_state(&self.state) else { return };
         let members = self.members_as_of(index);
         self.log.compact(last);
         self.snapshot = SnapshotMeta { last, members };
@@ -154,7 +154,7 @@
     /// decoded.
     fn install_snapshot(&mut self, last: LogPos, bytes: &[u8], out: &mut Vec<RaftOutput>) -> bool {
         let Ok(transfer) = postcard::from_bytes::<SnapshotTransfer>(bytes) else { return false };
-        let Ok(state) = postcard::from_bytes::<ControlState>(&transfer.data) else { return false };
+        let Ok(state) = decode_state(&transfer.data) else { return false };
         if self.log.term_at(last.index) == Some(last.term) {
             self.log.compact(last);
         } else {
@@ -170,6 +170,7 @@
         self.persist_snapshot(out);
         out.push(RaftOutput::SnapshotInstalled(self.state.config.clone()));
         out.push(RaftOutput::RoutingCommitted(self.state.routing.clone()));
+        out.push(RaftOutput::ZoneOrdersCommitted(self.state.zone_orders.clone()));
         true
     }
 
--- a/crates/hornbeam_control/src/raft/types.rs
+++ b/crates/hornbeam_control/src/raft/types.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hornbeam_events::Event;
-use hornbeam_model::{Change, Config, InstanceId, Mono, Routing};
+use hornbeam_model::{Change, Config, InstanceId, Mono, Routing, ZoneOrder, ZoneOrders};
 use hornbeam_protocol::control::{ChangeCommand, ControlMessage, Entry};
 use hornbeam_storage::{Boot, HardState, Record, SnapshotMeta};
 use indexmap::IndexMap;
@@ -21,6 +21,8 @@
     Change(ChangeCommand),
     /// Puts a routing table in force; the proposer has validated it.
     Routing(Arc<Routing>),
+    /// Evacuates the servers of a zone or ends their evacuation; all controllers read such orders.
+    ZoneOrder(ZoneOrder),
     /// Replaces a voter with another instance.
     Replace {
         /// Voter to remove.
@@ -106,6 +108,8 @@
     },
     /// A routing table came into force, through a log entry or an installed snapshot.
     RoutingCommitted(Arc<Routing>),
+    /// The set of evacuated zones changed, through a log entry or an installed snapshot.
+    ZoneOrdersCommitted(Arc<ZoneOrders>),
     /// A snapshot from the leader replaced the state; holds the configuration in it.
     SnapshotInstalled(Arc<Config>),
     /// A majority confirmed that this instance led at this time and that its state was current.
--- a/crates/hornbeam_control/src/state.rs
+++ b/crates/hornbeam_control/src/state.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use hornbeam_model::{Change, ChangeError, ChangeId, Config, Revision, Routing, TableVersion};
+use hornbeam_model::{
+    Change, ChangeError, ChangeId, Config, Revision, Routing, TableVersion, ZoneOrder, ZoneOrders,
+};
 use hornbeam_protocol::control::{ChangeCommand, ChangeOutcome};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -41,6 +43,9 @@
     history: Vec<HistoryItem>,
     /// Latest committed routing table; its version never decreases.
     pub routing: Arc<Routing>,
+    /// Evacuated zones. Encoded after the other fields, see [`crate::encoding`].
+    #[serde(skip)]
+    pub zone_orders: Arc<ZoneOrders>,
 }
 
 /// Outcome of a [`Proposal`](crate::raft::Proposal).
@@ -54,6 +59,8 @@
     Unknown,
     /// The routing table of this version is in force: the proposed one or a later one.
     TableInForce(TableVersion),
+    /// This order about a zone is committed.
+    ZoneOrdered(ZoneOrder),
     /// The first step of a voter replacement is committed.
     ReplacementStarted,
     /// The proposal was not accepted, for this reason; the text names the remedy.
--- a/crates/hornbeam_node/src/control/net.rs
+++ b/crates/hornbeam_node/src/control/net.rs
@@ -12,6 +12,7 @@
 
 use hornbeam_events::Event;
 use hornbeam_model::InstanceId;
+use hornbeam_protocol::discovery::{ControllerMessage, ControllerStatement};
 use hornbeam_protocol::{
     Envelope, FrameError, FrameKey, MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, Message, ReplayGuard,
     ReplayVerdict,
@@ -45,6 +46,8 @@
     pub from: InstanceId,
     /// Content of the message.
     pub message: Message,
+    /// What a controller states about itself with its heartbeat; older builds state nothing.
+    pub statement: Option<ControllerStatement>,
 }
 
 /// Sockets of one instance for messages to other instances. Used on a single thread.
@@ -57,6 +60,8 @@
     addresses: HashMap<InstanceId, SocketAddr>,
     streams: HashMap<InstanceId, mpsc::Sender<Vec<u8>>>,
     metrics: Metrics,
+    /// Sent after each heartbeat to other controllers.
+    statement: ControllerStatement,
 }
 
 /// State that the receiving tasks share.
@@ -130,6 +135,7 @@
             addresses: params.addresses,
             streams: HashMap::new(),
             metrics: params.metrics,
+            statement: ControllerStatement::default(),
         };
         Ok((net, Incoming { messages, stale_sessions }))
     }
@@ -148,6 +154,11 @@
         self.addresses.insert(instance, address);
     }
 
+    /// Sets what this instance states with its heartbeats to other controllers.
+    pub fn set_statement(&mut self, statement: ControllerStatement) {
+        self.statement = statement;
+    }
+
     /// Sends a message without a delivery guarantee. Drops it if the address of `to` is unknown.
     pub async fn send(&mut self, to: &InstanceId, message: Message) {
         let Some(address) = self.addresses.get(to).copied() else { return };
@@ -160,7 +171,13 @@
             seq: self.seq,
             message,
         };
-        let Ok(frame) = self.key.seal(&envelope, MAX_STREAM_BYTES) else {
+        let is_heartbeat =
+            matches!(envelope.message, Message::Controller(ControllerMessage::Heartbeat { .. }));
+        let sealed = match is_heartbeat {
+            true => self.key.seal_with(&envelope, &self.statement, MAX_STREAM_BYTES),
+            false => self.key.seal(&envelope, MAX_STREAM_BYTES),
+        };
+        let Ok(frame) = sealed else {
             log::error!("dropped a message to {to}: it is too long for a frame");
             return;
         };
@@ -272,8 +289,9 @@
     /// `true` also for a replayed frame or a stale session.
     fn handle_frame(&self, frame: &[u8], max: usize) -> bool {
         self.metrics.inner_received_bytes.inc_by(frame.len() as u64);
-        let envelope: Envelope = match self.key.open(frame, max) {
-            Ok(envelope) => envelope,
+        let opened = self.key.open_with(frame, max);
+        let (envelope, statement): (Envelope, _) = match opened {
+            Ok(opened) => opened,
             Err(e) => {
                 self.reject(&e.to_string(), error_label(&e));
                 return false;
@@ -289,7 +307,8 @@
         let verdict = self.guard.borrow_mut().check(&envelope.from, envelope.session, envelope.seq);
         match verdict {
             ReplayVerdict::Fresh => {
-                let received = Received { from: envelope.from, message: envelope.message };
+                let (from, message) = (envelope.from, envelope.message);
+                let received = Received { from, message, statement };
                 let _ = self.tx.send(received);
             }
             ReplayVerdict::Replayed => {
--- a/crates/hornbeam_node/src/control/run.rs
+++ b/crates/hornbeam_node/src/control/run.rs
@@ -181,7 +181,7 @@
 
     fn receive(&mut self, received: Received, pending: &mut PendingOutputs) {
         let now = self.clock.now();
-        let Received { from, message } = received;
+        let Received { from, message, .. } = received;
         match message {
             Message::StaleSession { known } => self.net.raise_session(known),
             Message::Control(message) => {
@@ -230,7 +230,7 @@
             RaftOutput::SnapshotInstalled(config) => FollowerInput::SnapshotInstalled(config),
             // This instance does not route: the entry and controller programs use the routing
             // table.
-            RaftOutput::RoutingCommitted(_) => return,
+            RaftOutput::RoutingCommitted(_) | RaftOutput::ZoneOrdersCommitted(_) => return,
             RaftOutput::Confirmed(at) => {
                 let leader = self.voter().and_then(Voter::raft).and_then(|r| r.leader().cloned());
                 let input = FollowerInput::Leader(leader);
--- a/crates/hornbeam_node/src/http/config.rs
+++ b/crates/hornbeam_node/src/http/config.rs
@@ -235,6 +235,9 @@
         ProposalOutcome::Change(ChangeOutcome::Invalid { problem: text }) => {
             change_error(StatusCode::BAD_REQUEST, "invalid", text, Some(Accepted::No))
         }
+        ProposalOutcome::ZoneOrdered(order) => {
+            Reply::json(StatusCode::OK, &serde_json::json!({"zone": order.zone}))
+        }
         ProposalOutcome::ReplacementStarted => {
             Reply::json(StatusCode::ACCEPTED, &serde_json::json!({"replacement": "begun"}))
         }
--- a/crates/hornbeam_protocol/src/control.rs
+++ b/crates/hornbeam_protocol/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hornbeam_model::{Change, ChangeId, InstanceId, Revision, Routing};
+use hornbeam_model::{Change, ChangeId, InstanceId, Revision, Routing, ZoneOrder};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -59,6 +59,9 @@
     Members(Membership),
     /// Puts a routing table in force unless one of the same or a later version is.
     Routing(Arc<Routing>),
+    /// Evacuates the servers of a zone or ends their evacuation; proposed only if all controllers read
+    /// it ([`Features::ZONE_ORDERS`](crate::features::Features::ZONE_ORDERS)).
+    ZoneOrder(ZoneOrder),
 }
 
 /// Configuration change as a log entry.
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -6,7 +6,7 @@
 
 use hornbeam_model::{
     CrashReport, Incarnation, InstanceId, RateReport, RequestRate, Routing, RoutingDelta, ServerId,
-    ServiceId, TableVersion, TrafficPolicy, Zone,
+    ServiceId, TableVersion, TrafficPolicy, Zone, ZoneOrders,
 };
 use serde::{Deserialize, Serialize};
 
@@ -154,6 +154,14 @@
         /// Policy of the new version; `None` if it is that of the old one.
         policy: Option<Arc<TrafficPolicy>>,
     },
+    /// Evacuated zones, for entries with [`Features::ZONE_ORDERS`]: at the start of a feed, before the
+    /// servers, and with each change.
+    ZoneOrders {
+        /// All evacuated zones; the highest index of all controllers is in force.
+        orders: ZoneOrders,
+        /// True if the controller has recently heard from a majority that it knows all orders.
+        is_current: bool,
+    },
 }
 
 /// Messages of a feed from an entry to a controller.
@@ -184,6 +192,16 @@
 /// Longest time between two messages of a feed in either direction, in milliseconds.
 pub const FEED_HEARTBEAT_INTERVAL_MS: u64 = 400;
 
+/// What a controller states about itself after the frame of its heartbeats to other controllers; older
+/// builds neither send nor read it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControllerStatement {
+    /// Messages and log entries that the controller reads.
+    pub features: Features,
+    /// Zones in which it has seen servers, entries or itself.
+    pub zones: Vec<Zone>,
+}
+
 /// Messages between controllers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ControllerMessage {
--- a/crates/hornbeam_protocol/tests/frames.rs
+++ b/crates/hornbeam_protocol/tests/frames.rs
@@ -1,6 +1,8 @@
 //! Frames: authentication, length limits, and decoding of arbitrary bytes.
 
-use hornbeam_model::{Revision, ServerId};
+use hornbeam_model::{OrderIndex, Revision, ServerId, ZoneOrders};
+use hornbeam_protocol::discovery::{ControllerMessage, ControllerStatement, FeedDown};
+use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{
     ConfigState, Digest, DigestEntry, Envelope, FrameError, FrameKey, MAX_DATAGRAM_BYTES,
     MAX_STREAM_BYTES, Message, ViewChange, ViewChanges, ViewKey,
@@ -100,3 +102,39 @@
         }
     }
 }
+
+/// A controller's heartbeat as the build before the orders about zones sealed it.
+const OLD_HEARTBEAT: &[u8] = &[
+    0x01, 0x69, 0x0b, 0xa6, 0x2e, 0x6b, 0x21, 0xf6, 0x46, 0x76, 0xf5, 0x21, 0x39, 0x6b, 0xd3, 0xa2,
+    0xca, 0x08, 0x31, 0x30, 0x2e, 0x30, 0x2e, 0x30, 0x2e, 0x31, 0x08, 0x31, 0x30, 0x2e, 0x30, 0x2e,
+    0x30, 0x2e, 0x32, 0x09, 0x04, 0x09, 0x00, 0x01, 0x08, 0x31, 0x30, 0x2e, 0x30, 0x2e, 0x30, 0x2e,
+    0x31, 0x01,
+];
+/// A fleet status on a feed, as the same build encoded it.
+const OLD_FLEET_STATUS: &[u8] = b"\x02\x01\x0810.0.0.1\x03\x07\x00";
+
+/// Builds run side by side while instances are replaced, so each must read the other's messages.
+#[test]
+fn formats_of_the_build_before() {
+    let key = FrameKey::new(b"a shared secret for tests");
+    let (old, statement): (Envelope, Option<ControllerStatement>) =
+        key.open_with(OLD_HEARTBEAT, MAX_DATAGRAM_BYTES).unwrap();
+    assert_eq!(statement, None);
+    let name = "10.0.0.1".parse().unwrap();
+    let heartbeat = ControllerMessage::Heartbeat { known: vec![name], leads: true };
+    assert_eq!(old.message, Message::Controller(heartbeat));
+
+    let zones = vec!["tabor".parse().unwrap()];
+    let stated = ControllerStatement { features: Features::ZONE_ORDERS, zones };
+    let frame = key.seal_with(&old, &stated, MAX_DATAGRAM_BYTES).unwrap();
+    assert_eq!(frame[frame.len() - 8..], *b"\x04\x01\x05tabor");
+    // The build before opens the frame without an addition.
+    assert_eq!(key.open::<Envelope>(&frame, MAX_DATAGRAM_BYTES).unwrap(), old);
+    assert_eq!(key.open_with(&frame, MAX_DATAGRAM_BYTES).unwrap(), (old, Some(stated)));
+
+    let status: FeedDown = postcard::from_bytes(OLD_FLEET_STATUS).unwrap();
+    assert!(matches!(&status, FeedDown::FleetStatus(s) if s.entries == 3 && s.table.0 == 7));
+    let evacuated = ["tabor".parse().unwrap()].into();
+    let orders = ZoneOrders { index: OrderIndex(9), evacuated };
+    assert_eq!(postcard::to_allocvec(&orders).unwrap(), b"\x09\x01\x05tabor");
+}
--- a/crates/hornbeam_testkit/src/control/check.rs
+++ b/crates/hornbeam_testkit/src/control/check.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hornbeam_control::{ProposalOutcome, Role, Voter};
-use hornbeam_model::{Config, InstanceId, Mono, Revision, TableVersion};
+use hornbeam_model::{Config, InstanceId, Mono, OrderIndex, Revision, TableVersion};
 use hornbeam_protocol::control::{ChangeOutcome, Entry, LogIndex};
 
 use super::{ControlCluster, NodeIdx};
@@ -22,6 +22,14 @@
         }
     }
 
+    pub(super) fn check_orders(&mut self, i: NodeIdx, index: OrderIndex) {
+        let before = self.orders.insert(i, index).unwrap_or_default();
+        if index < before {
+            let text = format!("instance {i} went from order {before} to {index}");
+            self.violations.push(text);
+        }
+    }
+
     pub(super) fn record_violation(&mut self, text: String) {
         self.violations.push(format!("at {}: {text}", self.now));
     }
--- a/crates/hornbeam_testkit/src/control/mod.rs
+++ b/crates/hornbeam_testkit/src/control/mod.rs
@@ -20,7 +20,10 @@
     ConfigFollower, FollowerParams, Proposal, ProposalId, ProposalOutcome, RaftInput, RaftParams,
     RepairPolicy, Role, Voter,
 };
-use hornbeam_model::{Change, ChangeId, Config, InstanceId, Mono, Revision, Routing, TableVersion};
+use hornbeam_model::{
+    Change, ChangeId, Config, InstanceId, Mono, OrderIndex, Revision, Routing, TableVersion,
+    ZoneOrder,
+};
 use hornbeam_protocol::control::{ChangeCommand, ControlMessage, DiskId, Term};
 use hornbeam_protocol::{ConfigState, Message};
 use hornbeam_storage::{Folder, MemoryFolder};
@@ -122,6 +125,8 @@
     first_voters: Vec<InstanceId>,
     /// Version of the last routing table that each instance has put in force since its last start.
     tables: BTreeMap<NodeIdx, TableVersion>,
+    /// Index of the last order about a zone that each instance has applied since its last start.
+    orders: BTreeMap<NodeIdx, OrderIndex>,
 }
 
 impl ControlCluster {
@@ -155,6 +160,7 @@
             accepted: BTreeMap::new(),
             first_voters,
             tables: BTreeMap::new(),
+            orders: BTreeMap::new(),
         };
         for i in 0..voters + others {
             cluster.nodes.push(TestNode {
@@ -234,6 +240,7 @@
         self.nodes[i].voter = None;
         self.nodes[i].follower = None;
         self.tables.remove(&i);
+        self.orders.remove(&i);
     }
 
     /// Stops an instance without a shutdown and drops its messages that have not arrived yet.
@@ -299,6 +306,13 @@
         self.propose(i, id, Proposal::Routing(table))
     }
 
+    /// Submits an order about a zone to instance `i` and returns the proposal number.
+    pub fn submit_zone_order(&mut self, i: NodeIdx, zone: &str, evacuate: bool) -> u64 {
+        let order = ZoneOrder { zone: zone.parse().expect("a valid zone name"), evacuate };
+        let id: ChangeId = format!("order-{zone}").parse().expect("a valid change id");
+        self.propose(i, id, Proposal::ZoneOrder(order))
+    }
+
     /// Requests that instance `i` replace voter `outgoing` by `incoming`; returns the proposal
     /// number.
     pub fn replace(&mut self, i: NodeIdx, outgoing: NodeIdx, incoming: NodeIdx) -> u64 {
--- a/crates/hornbeam_testkit/src/control/steps.rs
+++ b/crates/hornbeam_testkit/src/control/steps.rs
@@ -157,6 +157,7 @@
                     self.follower_step(i, FollowerInput::Leader(leader));
                     self.follower_step(i, FollowerInput::Confirmed(at));
                 }
+                RaftOutput::ZoneOrdersCommitted(orders) => self.check_orders(i, orders.index),
                 RaftOutput::RoutingCommitted(table) => self.check_table(i, table.version),
                 // `Voter::step` writes these to its disk and does not emit them.
                 RaftOutput::Persist(_) => {}
