Operators evacuate zones through the controllers

Cause: orders about zones could be replicated but neither given nor obeyed. Every controller states the whole set to its entries with each change, and at the start of a feed before the servers. An entry keeps the highest index. One that has just started holds servers back until a controller that has recently heard from a majority has stated the orders, for 3 s at most.

--- a/crates/hornbeam_controller/src/api.rs
+++ b/crates/hornbeam_controller/src/api.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeam_model::{Incarnation, InstanceId, Routing, ServerId};
+use hornbeam_model::{Incarnation, InstanceId, Routing, ServerId, Zone, ZoneOrder};
 use hornbeam_protocol::discovery::{LifeStage, ServerClaim};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -42,12 +42,14 @@
     PutTable(Arc<Routing>, oneshot::Sender<ApiResponse>),
     /// An operator reads the latest committed routing table.
     GetTable(oneshot::Sender<ApiResponse>),
+    /// An operator gives an order about a zone.
+    OrderZone(ZoneOrder, oneshot::Sender<ApiResponse>),
 }
 
 /// Response of the controller loop to an [`ApiRequest`].
 #[derive(Clone, Debug)]
 pub enum ApiResponse {
-    /// The proposed table or a later one is in force.
+    /// The proposed table or a later one is in force, or the order is committed.
     InForce,
     /// The latest committed table.
     Table(Arc<Routing>),
@@ -55,6 +57,8 @@
     Redirect(InstanceId),
     /// The request cannot be answered now, for this reason; it may be sent again.
     Unavailable(&'static str),
+    /// No server, entry or controller of this zone has been seen; nothing changed.
+    UnknownZone(Zone),
 }
 
 /// Returns the API address of a controller, or `None` if its name contains no address.
@@ -116,6 +120,8 @@
             }
             Call::PutTable => self.put_table(&path, &body).await,
             Call::GetTable => self.submit_and_wait(&path, ApiRequest::GetTable).await,
+            Call::BeginEvacuation(zone) => self.order_zone(&path, zone, true).await,
+            Call::FinishEvacuation(zone) => self.order_zone(&path, zone, false).await,
         }
     }
 
@@ -161,6 +167,11 @@
         }
     }
 
+    async fn order_zone(&self, path: &str, zone: Zone, evacuate: bool) -> HttpResponse {
+        let order = ZoneOrder { zone, evacuate };
+        self.submit_and_wait(path, |tx| ApiRequest::OrderZone(order, tx)).await
+    }
+
     /// Passes a request to the loop and waits for its response.
     async fn submit_and_wait(
         &self,
@@ -182,6 +193,12 @@
             ApiResponse::InForce => json_response(StatusCode::OK, b"{}".to_vec()),
             ApiResponse::Table(table) => json_response(StatusCode::OK, table_body(&table)),
             ApiResponse::Redirect(leader) => self.redirect(&leader, path),
+            ApiResponse::UnknownZone(zone) => {
+                let text = format!(
+                    "no server, entry or controller has been seen in zone {zone}: check its name"
+                );
+                error_response(StatusCode::NOT_FOUND, &text)
+            }
             ApiResponse::Unavailable(reason) => {
                 error_response(StatusCode::SERVICE_UNAVAILABLE, reason)
             }
--- a/crates/hornbeam_controller/src/dialect.rs
+++ b/crates/hornbeam_controller/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use hornbeam_model::{Incarnation, Routing, ServerId, TrafficPolicy};
+use hornbeam_model::{Incarnation, Routing, ServerId, TrafficPolicy, Zone};
 use hornbeam_protocol::discovery::ServerClaim;
 use hyper::Method;
 
@@ -20,6 +20,10 @@
     PutTable,
     /// An operator reads the routing table in force.
     GetTable,
+    /// An operator orders that nothing is sent to the servers of a zone.
+    BeginEvacuation(Zone),
+    /// An operator ends the evacuation of a zone.
+    FinishEvacuation(Zone),
 }
 
 /// Parsers of API calls and their bodies. Their errors are shown to the caller and name the remedy.
@@ -52,6 +56,9 @@
         (&Method::PUT, "/v1/routing") => Some(Call::PutTable),
         (&Method::GET, "/v1/routing") => Some(Call::GetTable),
         (&Method::POST, path) => {
+            if let Some(rest) = path.strip_prefix("/v1/zones/") {
+                return parse_zone_call(rest);
+            }
             let rest = path.strip_prefix("/v1/servers/")?;
             server(rest, "/heartbeat")
                 .map(Call::Heartbeat)
@@ -61,6 +68,16 @@
     }
 }
 
+fn parse_zone_call(rest: &str) -> Option<Call> {
+    let (zone, action) = rest.rsplit_once('/')?;
+    let zone = zone.parse().ok()?;
+    match action {
+        "evacuate" => Some(Call::BeginEvacuation(zone)),
+        "restore" => Some(Call::FinishEvacuation(zone)),
+        _ => None,
+    }
+}
+
 fn parse_default_heartbeat(server: ServerId, body: &[u8]) -> Result<ServerClaim, String> {
     let claim: ServerClaim = serde_json::from_slice(body)
         .map_err(|e| format!("the heartbeat cannot be parsed ({e}): see docs/API.md"))?;
--- a/crates/hornbeam_controller/src/lib.rs
+++ b/crates/hornbeam_controller/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`dialect`]: encoding of API calls, heartbeats and routing tables
 //! - [`api`]: HTTP API for backend servers and operators
 //! - [`feed`]: connections on which entries receive servers and routing tables
+//! - [`order_rules`]: whether an order about a zone may be proposed
 //! - [`state`]: the loop that holds all state
 //! - [`tables`]: recent routing tables, from which deltas are computed
 //! - [`metrics`]: Prometheus metrics
@@ -15,6 +16,7 @@
 pub mod dialect;
 pub mod feed;
 pub mod metrics;
+pub mod order_rules;
 pub mod run;
 pub mod state;
 mod state_file;
--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -17,6 +17,8 @@
     pub controllers: IntGauge,
     /// 1 while this controller leads.
     pub leads: IntGauge,
+    /// Zones whose servers are evacuated.
+    pub evacuated_zones: IntGauge,
     /// Version of the routing table in force.
     pub table_version: IntGauge,
 }
@@ -36,6 +38,10 @@
                 "Controllers heard recently, including this one.",
             ),
             leads: gauge("hornbeam_controller_leads", "1 while this controller leads."),
+            evacuated_zones: gauge(
+                "hornbeam_controller_evacuated_zones",
+                "Zones whose servers are evacuated.",
+            ),
             table_version: gauge("hornbeam_controller_table_version", "Routing table in force."),
             registry,
         }
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -71,6 +71,8 @@
                 if let Some(raft) = voter.raft() {
                     let table = self.with_policy(&raft.state().routing);
                     self.tables.push(&table);
+                    let orders = raft.state().zone_orders.clone();
+                    self.put_orders_in_force(&orders);
                 }
                 self.voter = Some(voter);
                 self.apply_outputs(out).await;
@@ -88,6 +90,7 @@
         let mut out = Vec::new();
         voter.step(now, input, &mut out);
         self.apply_outputs(out).await;
+        self.publish_orders_once_current(now);
     }
 
     pub(super) async fn apply_outputs(&mut self, outputs: Vec<RaftOutput>) {
@@ -99,6 +102,7 @@
                     self.net.send(&to, Message::Control(Box::new(message))).await;
                 }
                 RaftOutput::RoutingCommitted(table) => latest = Some(table),
+                RaftOutput::ZoneOrdersCommitted(orders) => self.put_orders_in_force(&orders),
                 RaftOutput::Confirmed(at) => self.reply_to_reads(at),
                 RaftOutput::Decided { id, outcome } => self.on_outcome(id, outcome),
                 RaftOutput::Event(event) => self.events.record(event),
@@ -158,11 +162,16 @@
         if raft.role() != Role::Leader {
             return self.redirect_to_leader(tx);
         }
+        self.propose(Proposal::Routing(table), tx).await;
+    }
+
+    /// Proposes an entry of the log; the outcome is reported to `tx`.
+    pub(super) async fn propose(&mut self, proposal: Proposal, tx: oneshot::Sender<ApiResponse>) {
         self.proposals.retain(|_, tx| !tx.is_closed());
         let id = ProposalId(self.next_proposal);
         self.next_proposal += 1;
         self.proposals.insert(id, tx);
-        self.step(RaftInput::Propose { id, proposal: Proposal::Routing(table) }).await;
+        self.step(RaftInput::Propose { id, proposal }).await;
     }
 
     pub(super) async fn get_table(&mut self, now: Mono, tx: oneshot::Sender<ApiResponse>) {
@@ -192,12 +201,18 @@
 
     pub(super) fn on_outcome(&mut self, id: ProposalId, outcome: ProposalOutcome) {
         let Some(tx) = self.proposals.remove(&id) else { return };
-        let fields = json!({"decision": "table_decided", "outcome": format!("{outcome:?}")});
-        self.write_log("table_decided", false, &fields);
+        let decision = match outcome {
+            ProposalOutcome::ZoneOrdered(_) => "order_decided",
+            _ => "table_decided",
+        };
+        let fields = json!({"decision": decision, "outcome": format!("{outcome:?}")});
+        self.write_log(decision, false, &fields);
         match outcome {
-            ProposalOutcome::TableInForce(_) => reply(tx, ApiResponse::InForce),
+            ProposalOutcome::TableInForce(_) | ProposalOutcome::ZoneOrdered(_) => {
+                reply(tx, ApiResponse::InForce)
+            }
             ProposalOutcome::NotLeader => self.redirect_to_leader(tx),
-            _ => self.reply_unavailable(tx, "the leader changed: send the table again"),
+            _ => self.reply_unavailable(tx, "the leader changed: send the request again"),
         }
     }
 
@@ -220,7 +235,7 @@
     }
 }
 
-fn reply(tx: oneshot::Sender<ApiResponse>, response: ApiResponse) {
+pub(super) fn reply(tx: oneshot::Sender<ApiResponse>, response: ApiResponse) {
     // The caller may have given up; it then sends the request again.
     let _ = tx.send(response);
 }
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`peers`]: messages between controllers
 //! - [`servers`]: heartbeats of servers and feeds to entries
+//! - [`zone_orders`]: orders of operators about availability zones
 //! - [`control_log`]: the replicated log, and routing tables that are proposed, committed and read
 
 mod control_log;
 mod peers;
 mod servers;
+mod zone_orders;
 
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -51,6 +53,8 @@
     tx: FeedSender,
     /// Rate of the callers' requests at the entry.
     demand: RequestRate,
+    /// Orders about zones that the entry was sent last.
+    orders_sent: zone_orders::SentOrders,
 }
 
 /// All state of a controller.
@@ -80,6 +84,8 @@
     voter: Option<Voter>,
     reopen_at: Mono,
     tables: RecentTables,
+    zones: zone_orders::ZoneState,
+    started_at: Mono,
     feeds: IndexMap<FeedId, Feed>,
     /// True if feeds were opened or closed since the lists of entries were last sent.
     feeds_changed: bool,
@@ -164,6 +170,8 @@
             voter: None,
             reopen_at: now,
             tables: RecentTables::default(),
+            zones: zone_orders::ZoneState::default(),
+            started_at: now,
             feeds: IndexMap::new(),
             feeds_changed: false,
             entry_heard_at: IndexMap::new(),
@@ -244,6 +252,7 @@
             self.save_servers();
             self.publish_fleet_status();
             self.publish_entries();
+            self.publish_zone_orders();
             // Each server is reported by the controllers that hear it, not by all of them.
             let registry = &self.registry;
             let reports = self.health_reports.summary(now, |s| registry.claim(s).is_some());
--- a/crates/hornbeam_controller/src/state/peers.rs
+++ b/crates/hornbeam_controller/src/state/peers.rs
@@ -54,6 +54,7 @@
             !expired || seeds.contains(name)
         });
         self.recent_departures.retain(|(at, _)| now.since(*at) < DEPARTURE_RESEND_PERIOD);
+        self.update_statement();
         let live = self.live_controllers(now);
         let leads = self.is_leader();
         let departures: Vec<_> = self.recent_departures.iter().map(|(_, c)| c.clone()).collect();
@@ -72,7 +73,7 @@
 
     pub(super) async fn receive(&mut self, received: Received) {
         let now = self.clock.now();
-        let Received { from, message } = received;
+        let Received { from, message, statement } = received;
         self.add_controller(from.clone());
         let last = self.contacts.insert(from.clone(), Some(now)).flatten();
         if last.is_none_or(|at| now.since(at) >= MAX_CONTACT_AGE) {
@@ -90,6 +91,7 @@
                 self.step(RaftInput::Message { from, message: *message }).await;
             }
             Message::Controller(ControllerMessage::Heartbeat { known, leads }) => {
+                self.record_statement(from.clone(), statement);
                 if leads {
                     self.reported_leader = Some((from, now));
                 }
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -34,6 +34,7 @@
             ApiRequest::Depart(..) => "depart",
             ApiRequest::PutTable(..) => "put_table",
             ApiRequest::GetTable(_) => "get_table",
+            ApiRequest::OrderZone(..) => "order_zone",
         };
         self.metrics.calls.with_label_values(&[kind]).inc();
         match request {
@@ -48,6 +49,7 @@
             }
             ApiRequest::PutTable(table, tx) => self.put_table(table, tx).await,
             ApiRequest::GetTable(tx) => self.get_table(now, tx).await,
+            ApiRequest::OrderZone(order, tx) => self.order_zone(now, order, tx).await,
         }
     }
 
@@ -216,11 +218,13 @@
                 self.write_log("entry", false, &fields);
                 self.entry_heard_at.insert(info.entry.clone(), now);
                 let demand = RequestRate::default();
-                self.feeds.insert(id, Feed { info, features, tx, demand });
+                self.feeds.insert(id, Feed { info, features, tx, demand, orders_sent: None });
                 self.feeds_changed = true;
                 if features != Features::default() {
                     self.send_to(id, &FeedDown::Features(Features::OWN));
                 }
+                self.send_zone_orders(id);
+                self.log_if_disobedient(id);
                 let servers = FeedDown::Servers(self.registry.claims());
                 self.send_to(id, &servers);
                 let fleet_status = FeedDown::FleetStatus(self.fleet_status());
--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`entry_lists`]: the entries whose addresses an entry gets
 //! - [`initial_sync`]: whether an entry has received the controllers' state after its start
 //! - [`health_reports`]: health reports of entries about servers, aggregated at a controller
+//! - [`zone_orders`]: evacuated zones, as the controllers state them to one entry
 //! - [`rate_reports`]: rates that servers state, and the demand for them, aggregated at a controller
 
 pub mod crash_reports;
@@ -21,6 +22,7 @@
 pub mod rate_reports;
 pub mod registry;
 pub mod saved_servers;
+pub mod zone_orders;
 
 pub use crash_reports::{CrashReports, SavedCrashes};
 pub use directory::{Directory, ServerUpdate};
@@ -31,3 +33,4 @@
 pub use rate_reports::RateReports;
 pub use registry::{Registry, RegistryParams};
 pub use saved_servers::SavedServers;
+pub use zone_orders::OrdersView;
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -9,9 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_discovery::{CrashReports, Directory, FeedCounts, ServerUpdate};
+use hornbeam_discovery::{CrashReports, Directory, FeedCounts, OrdersView, ServerUpdate};
 use hornbeam_model::{
     CrashReport, InstanceId, Mono, RateReport, RequestRate, Routing, ServerId, TableVersion,
+    ZoneOrders,
 };
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
@@ -46,6 +47,8 @@
 pub enum FeedEvent {
     /// Servers became usable, changed or became unusable.
     Servers(Vec<ServerChange>),
+    /// The set of evacuated zones changed.
+    ZoneOrders(ZoneOrders),
     /// A new routing table is in force.
     Table(Arc<Routing>),
     /// Number of entries that share the retry budgets and the connections to servers.
@@ -78,7 +81,7 @@
     pub tx: mpsc::UnboundedSender<FeedEvent>,
 }
 
-struct Feed {
+pub(crate) struct Feed {
     tx: mpsc::UnboundedSender<FeedUp>,
     task: AbortHandle,
     /// When the last message was received or, without one, when the feed was last connected or
@@ -86,7 +89,7 @@
     last_message: Mono,
     connected: bool,
     /// Messages that the controller reads.
-    features: Features,
+    pub(crate) features: Features,
     /// True if the health reports sent last were not empty.
     reported: bool,
     /// Number of entries that follow the controller.
@@ -108,12 +111,15 @@
 }
 
 /// All feeds of an entry and the state that they provide.
-struct ControllerFeeds {
+pub(crate) struct ControllerFeeds {
     params: FeedParams,
     key: FrameKey,
     me: InstanceId,
     directory: Directory,
-    feeds: IndexMap<InstanceId, Feed>,
+    pub(crate) zone_orders: OrdersView,
+    /// Servers that are not used before the orders about zones are known.
+    pub(crate) held_servers: Vec<ServerUpdate>,
+    pub(crate) feeds: IndexMap<InstanceId, Feed>,
     table: Arc<Routing>,
     /// What this entry has reported of requests in flight at servers that ended, for controllers that
     /// have been restarted.
@@ -152,6 +158,8 @@
         key: FrameKey::new(params.settings.key.as_bytes()),
         me: params.settings.instance.clone(),
         directory: Directory::default(),
+        zone_orders: OrdersView::default(),
+        held_servers: Vec::new(),
         feeds: IndexMap::new(),
         table: Arc::new(Routing::default()),
         crash_reports: CrashReports::default(),
@@ -231,7 +239,7 @@
     }
 
     /// Sends an update to the traffic thread.
-    fn publish(&self, event: FeedEvent) {
+    pub(crate) fn publish(&self, event: FeedEvent) {
         // The traffic thread ends only with the process.
         let _ = self.params.tx.send(event);
     }
@@ -310,11 +318,11 @@
         match message {
             FeedDown::Servers(claims) => {
                 let updates = self.directory.replace_feed(now, from, claims);
-                self.publish_servers(updates);
+                self.use_servers(now, from, updates);
             }
             FeedDown::Changes(changes) => {
                 let updates = self.directory.update_feed(now, from, changes);
-                self.publish_servers(updates);
+                self.use_servers(now, from, updates);
             }
             FeedDown::FleetStatus(status) => self.on_fleet_status(now, from, &status),
             FeedDown::TableDelta(delta) => match self.table.apply(&delta) {
@@ -337,6 +345,9 @@
                     feed.features = features;
                 }
             }
+            FeedDown::ZoneOrders { orders, is_current } => {
+                self.on_zone_orders(now, orders, is_current);
+            }
             FeedDown::CrashReports(reports) => {
                 self.publish(FeedEvent::CrashReports(reports));
             }
@@ -354,32 +365,6 @@
         }
     }
 
-    fn publish_servers(&mut self, updates: Vec<ServerUpdate>) {
-        if updates.is_empty() {
-            return;
-        }
-        let changes = updates.into_iter().map(|update| match update {
-            ServerUpdate::Usable { server, order, info } => ServerChange::Usable {
-                server,
-                incarnation: order.incarnation,
-                service: info.service,
-                address: info.address,
-                zone: info.zone,
-                slots: info.slots,
-                warm_up: Duration::from_millis(u64::from(info.warm_up_ms)),
-            },
-            ServerUpdate::Unusable { server, stage } => {
-                let reason = match stage {
-                    hornbeam_protocol::discovery::LifeStage::Ready => "lapsed",
-                    hornbeam_protocol::discovery::LifeStage::Draining => "draining",
-                    hornbeam_protocol::discovery::LifeStage::Gone => "gone",
-                };
-                ServerChange::Unusable { server, reason }
-            }
-        });
-        self.publish(FeedEvent::Servers(changes.collect()));
-    }
-
     /// Updates the entries that follow one controller; all controllers together know
     /// all of them.
     fn on_entries(&mut self, from: &InstanceId, entries: Vec<EntryInfo>) {
@@ -443,6 +428,7 @@
 
     fn tick(&mut self) {
         let now = self.params.clock.now();
+        self.release_held_servers(now);
         let updates = self.directory.expire(now);
         self.publish_servers(updates);
         self.check_suspension(now);
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`peer_connection`]: a connection between two entries that carries messages
 //! - [`feed_connection`]: the connection to one controller
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
+//! - `zone_orders`: orders about zones, and servers that are not used before they are known
 //! - [`metrics`]: Prometheus metrics
 //! - [`mod@run`]: starts, runs and drains an entry
 
@@ -29,6 +30,7 @@
 pub mod peer_connection;
 pub mod response;
 pub mod run;
+mod zone_orders;
 
 pub use dialect::Dialect;
 pub use run::run;
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -39,6 +39,8 @@
     pub in_flight: IntGauge,
     /// Backend servers that accept new requests.
     pub usable_servers: IntGauge,
+    /// Zones whose servers are evacuated.
+    pub evacuated_zones: IntGauge,
     /// 1 while this entry reaches no backend server, else 0.
     pub detached: IntGauge,
     /// Controllers whose feed is fresh.
@@ -95,6 +97,10 @@
                 "hornbeam_entry_usable_servers",
                 "Backend servers that accept new requests.",
             ),
+            evacuated_zones: gauge(
+                "hornbeam_entry_evacuated_zones",
+                "Zones whose servers are evacuated.",
+            ),
             detached: gauge(
                 "hornbeam_entry_detached",
                 "1 while this entry reaches no backend server, else 0.",
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -87,7 +87,7 @@
     let mut hup = signal(SignalKind::hangup()).context(StartSnafu { what: "SIGHUP" })?;
     let clock = Clock::start();
     let metrics = Metrics::default();
-    let engine = Engine::new(engine_params(&settings));
+    let engine = Engine::new(engine_params(&settings)).with_regions(settings.zone_regions());
     let ready_path = dialect.ready_path.clone();
     let key = FrameKey::new(settings.key.as_bytes());
     let group_exchange = GroupExchange::new(settings.instance.clone(), key);
@@ -205,6 +205,11 @@
             let usable = core.with_engine(Engine::usable_servers);
             core.metrics.usable_servers.set(usable as i64);
         }
+        FeedEvent::ZoneOrders(orders) => {
+            core.step(Input::ZoneOrders(orders));
+            let zones = core.with_engine(Engine::evacuated_zones);
+            core.metrics.evacuated_zones.set(zones as i64);
+        }
         FeedEvent::Table(table) => {
             core.metrics.table_version.set(table.version.0 as i64);
             core.step(Input::Table(table));
