--- a/crates/hornbeam_settings/tests/fleet_settings.rs
+++ b/crates/hornbeam_settings/tests/fleet_settings.rs
@@ -39,6 +39,20 @@
     assert_eq!(settings.bind_address(advertised).to_string(), "127.0.0.77:7380");
 }
 
+/// The templates fill in null or an empty name for a deployment without zones and regions.
+#[parameterized(
+    absent = { "", &[] },
+    empty = { "zones:\nregion: \"\"\n", &[] },
+    own = { "region: east\n", &[("olomouc", "east")] },
+    listed = { "zones: {\"olomouc\":\"east\",\"tabor\":\"west\"}\nregion: north\n",
+        &[("olomouc", "east"), ("tabor", "west")] },
+)]
+fn regions(lines: &str, expected: &[(&str, &str)]) {
+    let regions = read(&format!("{VALID}{lines}")).unwrap().zone_regions();
+    let named = regions.iter().map(|(zone, region)| (zone.as_str(), region.as_str()));
+    assert_eq!(named.collect::<Vec<_>>(), expected);
+}
+
 #[parameterized(
     unknown = { "colour: red\n", "colour" },
     no_folder = { "api: 127.0.0.9:8106\n", "data_dir" },
