--- a/crates/hornbeam_discovery/src/zone_orders.rs
+++ b/crates/hornbeam_discovery/src/zone_orders.rs
@@ -18,7 +18,7 @@
     orders: ZoneOrders,
     /// True once servers may be used, which then holds for good.
     ready: bool,
-    /// When a controller that sends orders first named servers.
+    /// When the entry first had a table and servers but not the orders.
     waiting_since: Option<Mono>,
 }
 
@@ -35,18 +35,18 @@
     }
 
     /// Returns true if servers that a controller names may be used. `sends_orders` tells whether the
-    /// controller sends orders; those of earlier builds do not.
-    pub fn may_use_servers(&mut self, now: Mono, sends_orders: bool) -> bool {
-        if self.ready {
+    /// controller sends orders; those of earlier builds do not. The wait for orders begins once the
+    /// entry has a routing table: without one it serves nothing anyway.
+    pub fn may_use_servers(&mut self, now: Mono, sends_orders: bool, has_table: bool) -> bool {
+        if self.ready || !sends_orders {
+            self.ready = true;
             return true;
         }
+        if !has_table {
+            return false;
+        }
         let since = *self.waiting_since.get_or_insert(now);
-        self.ready = !sends_orders || now.since(since) >= MAX_ORDERS_WAIT;
+        self.ready = now.since(since) >= MAX_ORDERS_WAIT;
         self.ready
     }
-
-    /// Returns true if servers may be used by now, because the wait for the orders has ended.
-    pub fn is_ready(&mut self, now: Mono) -> bool {
-        self.waiting_since.is_some() && self.may_use_servers(now, true)
-    }
 }
--- a/crates/hornbeam_discovery/tests/zone_orders.rs
+++ b/crates/hornbeam_discovery/tests/zone_orders.rs
@@ -25,20 +25,22 @@
 #[test]
 fn waits_for_orders() {
     let mut view = OrdersView::default();
-    assert!(!view.is_ready(T), "nothing is held back yet");
-    assert!(!view.may_use_servers(T, true));
+    assert!(!view.may_use_servers(T, true, true));
     view.record(orders(3, &["pisek"]), false);
-    assert!(!view.may_use_servers(T, true), "this controller may not know the latest orders");
+    assert!(!view.may_use_servers(T, true, true), "this controller may not know the latest orders");
     view.record(orders(9, &["tabor"]), true);
-    assert!(view.is_ready(T) && view.may_use_servers(T, true));
+    assert!(view.may_use_servers(T, true, true));
 }
 
 #[test]
 fn serves_without_orders() {
     let mut view = OrdersView::default();
-    assert!(view.may_use_servers(T, false), "the build before sends none");
+    assert!(view.may_use_servers(T, false, true), "the build before sends none");
 
     let mut view = OrdersView::default();
-    assert!(!view.may_use_servers(T, true) && !view.is_ready(T + MAX_ORDERS_WAIT / 2));
-    assert!(view.is_ready(T + MAX_ORDERS_WAIT), "no majority of the controllers");
+    let later = T + MAX_ORDERS_WAIT;
+    assert!(!view.may_use_servers(T, true, false) && !view.may_use_servers(later, true, false));
+    assert!(!view.may_use_servers(later, true, true), "the wait begins with the table");
+    let no_majority = "no majority of the controllers";
+    assert!(view.may_use_servers(later + MAX_ORDERS_WAIT, true, true), "{no_majority}");
 }
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -403,6 +403,10 @@
         }
     }
 
+    pub(crate) fn has_table(&self) -> bool {
+        self.table.version > TableVersion(0)
+    }
+
     fn publish_feed_counts(&mut self, now: Mono) {
         self.feed_counts = self.directory.feed_counts(now, self.feeds.len());
         self.publish(FeedEvent::FeedCounts(self.feed_counts));
--- a/crates/hornbeam_entry/src/zone_orders.rs
+++ b/crates/hornbeam_entry/src/zone_orders.rs
@@ -16,7 +16,10 @@
     pub(crate) fn use_servers(&mut self, now: Mono, from: &InstanceId, updates: Vec<ServerUpdate>) {
         let features = self.feeds.get(from).map(|f| f.features).unwrap_or_default();
         let sends_orders = features.includes(Features::ZONE_ORDERS);
-        if self.zone_orders.may_use_servers(now, sends_orders) {
+        if updates.is_empty() {
+            return;
+        }
+        if self.zone_orders.may_use_servers(now, sends_orders, self.has_table()) {
             self.release_held_servers(now);
             return self.publish_servers(updates);
         }
@@ -33,7 +36,10 @@
 
     /// Publishes the servers that were held back once they may be used.
     pub(crate) fn release_held_servers(&mut self, now: Mono) {
-        if self.zone_orders.is_ready(now) {
+        if self.held_servers.is_empty() {
+            return;
+        }
+        if self.zone_orders.may_use_servers(now, true, self.has_table()) {
             let held = std::mem::take(&mut self.held_servers);
             self.publish_servers(held);
         }
