--- a/crates/hornbeam_entry/src/feed_event.rs
+++ b/crates/hornbeam_entry/src/feed_event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hornbeam_discovery::FeedCounts;
-use hornbeam_model::{CrashReport, RateReport, RequestRate, Routing};
+use hornbeam_model::{CrashReport, RateReport, RequestRate, Routing, ZoneOrders};
 use hornbeam_protocol::discovery::HealthReport;
 use hornbeam_route::{ControllerContact, Peer, ServerChange, ServerHealthReport};
 
@@ -12,6 +12,8 @@
 pub enum FeedEvent {
     /// Servers became usable, changed or became unusable.
     Servers(Vec<ServerChange>),
+    /// The set of evacuated zones changed.
+    ZoneOrders(ZoneOrders),
     /// A new routing table is in force.
     Table(Arc<Routing>),
     /// Versions of the routing table that the controllers have stated.
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_discovery::{CrashReports, Directory, FeedCounts, ServerUpdate};
+use hornbeam_discovery::{CrashReports, Directory, FeedCounts, OrdersView, ServerUpdate};
 use hornbeam_model::{CrashReport, InstanceId, Mono, RateReport, Routing, ServerId, TableVersion};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
@@ -19,7 +19,7 @@
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::{EntryInfo, FeedDown, FeedUp, FleetStatus, HealthReport};
 use hornbeam_protocol::features::Features;
-use hornbeam_route::{ControllerContact, Peer, ServerChange, ServerHealthReport};
+use hornbeam_route::{ControllerContact, Peer, ServerHealthReport};
 use hornbeam_settings::{FleetSettings, SettingsError};
 use indexmap::IndexMap;
 use serde_json::json;
@@ -57,7 +57,7 @@
     pub tx: mpsc::UnboundedSender<FeedEvent>,
 }
 
-struct Feed {
+pub(crate) struct Feed {
     tx: mpsc::UnboundedSender<FeedUp>,
     task: AbortHandle,
     /// When the last message was received or, without one, when the feed was last connected or
@@ -65,7 +65,7 @@
     last_message: Mono,
     connected: bool,
     /// Messages that the controller reads.
-    features: Features,
+    pub(crate) features: Features,
     /// True if the health reports sent last were not empty.
     reported: bool,
     /// What the controller reported about the fleet.
@@ -87,12 +87,15 @@
 }
 
 /// All feeds of an entry and the state that they provide.
-struct ControllerFeeds {
-    params: FeedParams,
+pub(crate) struct ControllerFeeds {
+    pub(crate) params: FeedParams,
     key: FrameKey,
     me: InstanceId,
     directory: Directory,
-    feeds: IndexMap<InstanceId, Feed>,
+    pub(crate) zone_orders: OrdersView,
+    /// Servers that are not used before the orders about zones are known.
+    pub(crate) held_servers: Vec<ServerUpdate>,
+    pub(crate) feeds: IndexMap<InstanceId, Feed>,
     table: Arc<Routing>,
     /// What this entry has reported of requests in flight at servers that ended, for controllers that
     /// have been restarted.
@@ -122,6 +125,8 @@
         key: FrameKey::new(params.settings.key.as_bytes()),
         me: params.settings.instance.clone(),
         directory: Directory::default(),
+        zone_orders: OrdersView::new(params.settings.evacuations),
+        held_servers: Vec::new(),
         feeds: IndexMap::new(),
         table: Arc::new(Routing::default()),
         crash_reports: CrashReports::default(),
@@ -203,7 +208,7 @@
     }
 
     /// Sends an update to the traffic thread.
-    fn publish(&self, event: FeedEvent) {
+    pub(crate) fn publish(&self, event: FeedEvent) {
         // The traffic thread ends only with the process.
         let _ = self.params.tx.send(event);
     }
@@ -285,11 +290,11 @@
         match message {
             FeedDown::Servers(claims) => {
                 let updates = self.directory.replace_feed(now, from, claims);
-                self.publish_servers(updates);
+                self.use_servers(now, from, updates);
             }
             FeedDown::Changes(changes) => {
                 let updates = self.directory.update_feed(now, from, changes);
-                self.publish_servers(updates);
+                self.use_servers(now, from, updates);
             }
             FeedDown::FleetStatus(status) => self.on_fleet_status(now, from, status),
             FeedDown::FleetDemand(demand) => {
@@ -318,6 +323,9 @@
                     feed.features = features;
                 }
             }
+            FeedDown::ZoneOrders { orders, is_current } => {
+                self.on_zone_orders(now, orders, is_current);
+            }
             FeedDown::CrashReports(reports) => {
                 self.publish(FeedEvent::CrashReports(reports));
             }
@@ -335,32 +343,6 @@
         }
     }
 
-    fn publish_servers(&mut self, updates: Vec<ServerUpdate>) {
-        if updates.is_empty() {
-            return;
-        }
-        let changes = updates.into_iter().map(|update| match update {
-            ServerUpdate::Usable { server, order, info } => ServerChange::Usable {
-                server,
-                incarnation: order.incarnation,
-                service: info.service,
-                address: info.address,
-                zone: info.zone,
-                slots: info.slots,
-                warm_up: Duration::from_millis(u64::from(info.warm_up_ms)),
-            },
-            ServerUpdate::Unusable { server, stage } => {
-                let reason = match stage {
-                    hornbeam_protocol::discovery::LifeStage::Ready => "lapsed",
-                    hornbeam_protocol::discovery::LifeStage::Draining => "draining",
-                    hornbeam_protocol::discovery::LifeStage::Gone => "gone",
-                };
-                ServerChange::Unusable { server, reason }
-            }
-        });
-        self.publish(FeedEvent::Servers(changes.collect()));
-    }
-
     /// Updates the entries that follow one controller; all controllers together know
     /// all of them.
     fn on_entries(&mut self, from: &InstanceId, entries: Vec<EntryInfo>) {
@@ -413,6 +395,10 @@
         }));
     }
 
+    pub(crate) fn has_table(&self) -> bool {
+        self.table.version > TableVersion(0)
+    }
+
     fn publish_feed_counts(&mut self, now: Mono) {
         self.feed_counts = self.directory.feed_counts(now, self.feeds.len());
         self.publish(FeedEvent::FeedCounts(self.feed_counts));
@@ -438,6 +424,7 @@
 
     fn tick(&mut self) {
         let now = self.params.clock.now();
+        self.release_held_servers(now);
         let updates = self.directory.expire(now);
         self.publish_servers(updates);
         self.check_suspension(now);
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`feed_event`]: messages between the control thread and the traffic thread
 //! - `contact`: since when a majority of the controllers has stated its table version
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
+//! - `zone_orders`: orders about zones, and servers that are not used before they are known
 //! - [`metrics`]: Prometheus metrics
 //! - `zone_traffic`: counts what is exchanged with the servers of each zone
 //! - [`mod@run`]: starts, runs and drains an entry
@@ -38,6 +39,7 @@
 pub mod response;
 pub mod run;
 mod team_fields;
+mod zone_orders;
 mod zone_traffic;
 
 pub use dialect::Dialect;
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -82,7 +82,7 @@
 
 /// Returns the engine of an entry, without a routing table or servers.
 fn engine(settings: &FleetSettings, now: Mono) -> Engine {
-    let mut engine = Engine::new(engine_params(settings));
+    let mut engine = Engine::new(engine_params(settings)).with_regions(settings.zone_regions());
     if let Some(spill) = settings.zone_spill {
         let time = |ms: f64| Duration::from_secs_f64(ms / 1e3);
         let params = SpillParams {
@@ -225,6 +225,11 @@
             let usable = core.with_engine(Engine::usable_servers);
             core.metrics.usable_servers.set(usable as i64);
         }
+        FeedEvent::ZoneOrders(orders) => {
+            core.step(Input::ZoneOrders(orders));
+            let zones = core.with_engine(Engine::evacuated_zones);
+            core.metrics.evacuated_zones.set(zones as i64);
+        }
         FeedEvent::Table(table) => {
             core.metrics.table_version.set(table.version.0 as i64);
             core.step(Input::Table(table));
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -6,7 +6,7 @@
 
 use hornbeam_model::{
     AttemptId, CrashReport, Fingerprint, Incarnation, InstanceId, KeyDigest, QueryId, RateReport,
-    RequestRate, Route, Routing, ServerId, ServiceId, TeamId, Zone,
+    RequestRate, Route, Routing, ServerId, ServiceId, TeamId, Zone, ZoneOrders,
 };
 use smol_str::SmolStr;
 
@@ -117,6 +117,8 @@
     Table(Arc<Routing>),
     /// The controllers stated the versions of their routing tables.
     ControllerContact(ControllerContact),
+    /// The zones whose servers are evacuated, as one controller states them.
+    ZoneOrders(ZoneOrders),
     /// Other entries learned that servers are leaving.
     ServersLeaving(Vec<LeavingServer>),
     /// This entry is isolated from the rest of the fleet, or no longer.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -17,6 +17,7 @@
 //! - [`startup`]: requests that arrive before the first routing table
 //! - [`revocation`]: requests whose key is revoked while they run
 //! - [`teams`]: teams of callers and their keys
+//! - [`zone_rules`]: evacuated zones and allowed regions; decides whether a server may be used
 //! - [`servers`]: changes of servers, routing tables and the number of entries
 
 mod admission;
@@ -37,6 +38,7 @@
 mod spilling;
 mod startup;
 mod teams;
+mod zone_rules;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -72,6 +74,7 @@
 use crate::service::Service;
 use crate::spill::ZoneSpill;
 use crate::split::Splitter;
+use crate::zone_rules::ZoneRules;
 use crate::zones::ZoneReachability;
 
 /// An attempt without an outcome yet.
@@ -139,6 +142,7 @@
     /// Quarantined requests as they were logged last.
     logged_quarantines: Vec<Fingerprint>,
     zones: ZoneReachability,
+    zone_rules: ZoneRules,
     access: ServerAccess,
     /// `None` if the deployment does not enable it.
     spill: Option<Box<ZoneSpill>>,
@@ -192,6 +196,7 @@
             pending_checks: IndexMap::new(),
             logged_quarantines: Vec::new(),
             zones: ZoneReachability::default(),
+            zone_rules: ZoneRules::default(),
             access: ServerAccess::default(),
             spill: None,
             next_server_probe: Mono::default(),
@@ -263,6 +268,7 @@
                     self.zones.reset();
                 }
             }
+            Input::ZoneOrders(orders) => self.on_zone_orders(now, orders, out),
             Input::EntryCount(entries) => self.on_entry_count(now, entries),
             Input::FleetDemand(rate) => {
                 self.demand.set_fleet(rate);
@@ -337,13 +343,13 @@
             return false;
         }
         let servers = self.server_names.values().map(|i| &self.servers[*i]);
-        let mut others = servers.filter(|s| !s.same_zone).peekable();
+        let mut others = servers.filter(|s| !s.same_zone && !s.evacuated).peekable();
         others.peek().is_some() && others.all(|s| self.zones.is_lost(now, &s.zone))
     }
 
     /// Returns the number of servers that are ejected or in an unreachable zone.
     pub fn unreachable_servers(&self) -> usize {
-        let servers = self.server_names.values().map(|i| &self.servers[*i]);
+        let servers = self.servers_in_use();
         servers.filter(|s| s.is_ejected() || self.zones.is_unreachable(&s.zone)).count()
     }
 
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -9,6 +9,7 @@
 use super::spilling::ZoneFilter;
 use super::{Attempt, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::{AttemptKind, Decision};
+use crate::region_rule::RegionRule;
 use crate::request::{RunningRequest, ShardStatus};
 use crate::service::Waiter;
 
@@ -44,7 +45,8 @@
     Server(usize, f64),
     /// The service or all its servers that are not ejected have no capacity.
     AtCapacity,
-    /// All servers are ejected, paused, excluded or in lost zones, or there are none.
+    /// All servers are ejected, paused, excluded, in lost or evacuated zones or in regions that are not
+    /// allowed, or there are none.
     Unavailable,
 }
 
@@ -67,8 +69,9 @@
     ) {
         let Some(running) = self.requests.get(&key) else { return };
         let may_relay = !running.is_group() && self.may_need_relay();
-        let needs_relay =
-            |s: &usize| may_relay && self.needs_relay(now, running.shards[*s].service);
+        let needs_relay = |s: &usize| {
+            may_relay && self.needs_relay(now, running.shards[*s].service, &running.regions)
+        };
         let (relayed, own): (Vec<usize>, Vec<usize>) = shards.iter().partition(|s| needs_relay(s));
         self.relay(now, key, &relayed, None, out);
         if self.is_detached() {
@@ -115,7 +118,8 @@
         let Some(running) = self.requests.get(&key) else { return true };
         let progress = &running.shards[shard];
         let (service, tried, due) = (progress.service, progress.tried.clone(), running.answer_by);
-        match self.choose_server_or_tried(now, service, &tried, due) {
+        let regions = running.regions.clone();
+        match self.choose_server_or_tried(now, service, &tried, due, &regions) {
             ServerChoice::Server(server, cost) => {
                 self.send_if_allowed(now, (key, shard), (server, cost), out)
             }
@@ -135,10 +139,11 @@
         service: usize,
         tried: &[usize],
         due: Mono,
+        regions: &RegionRule,
     ) -> ServerChoice {
-        match self.choose_server(now, service, tried, due) {
+        match self.choose_server(now, service, tried, due, regions) {
             ServerChoice::Unavailable if !tried.is_empty() => {
-                self.choose_server(now, service, &[], due)
+                self.choose_server(now, service, &[], due, regions)
             }
             choice => choice,
         }
@@ -200,8 +205,10 @@
         let Some(running) = self.requests.get_mut(&key) else { return };
         let progress = &mut running.shards[shard];
         let (service, attempts) = (progress.service, progress.attempts);
+        let regions = running.regions.clone();
         progress.not_awaited = others_suffice;
         let mut servers = self.services[service].servers.clone();
+        servers.retain(|s| self.may_use(*s, &regions));
         servers.retain(|s| !self.servers[*s].is_paused(now) && self.within_rate(now, *s));
         let probe = servers.iter().copied().find(|s| self.servers[*s].start_probe_if_due(now));
         let required = || {
@@ -237,6 +244,7 @@
         exclude: &[usize],
         due: Mono,
         filter: &ZoneFilter,
+        regions: &RegionRule,
     ) -> ServerChoice {
         if filter.is_limited() && self.is_at_limit(service) {
             return ServerChoice::AtCapacity;
@@ -249,6 +257,9 @@
         let mut full = false;
         for position in 0..self.services[service].servers.len() {
             let idx = self.services[service].servers[position];
+            if !self.may_use(idx, regions) {
+                continue;
+            }
             let server = &mut self.servers[idx];
             if !filter.admits(&server.zone) {
                 continue;
@@ -323,13 +334,13 @@
     pub(super) fn dispatch_waiters(&mut self, now: Mono, service: usize, out: &mut Vec<Output>) {
         self.drop_late_waiters(now, service, out);
         while let Some(first) = self.services[service].next_waiter() {
-            let tried =
-                self.requests.get(&first.request).map(|r| r.shards[first.shard].tried.clone());
-            let Some(tried) = tried else {
+            let Some(running) = self.requests.get(&first.request) else {
                 self.services[service].waiters.remove(&first);
                 continue;
             };
-            match self.choose_server_or_tried(now, service, &tried, first.due) {
+            let tried = running.shards[first.shard].tried.clone();
+            let regions = running.regions.clone();
+            match self.choose_server_or_tried(now, service, &tried, first.due, &regions) {
                 ServerChoice::Server(server, cost) => {
                     self.services[service].waiters.remove(&first);
                     let (key, shard) = (first.request, first.shard);
--- a/crates/hornbeam_route/src/engine/spilling.rs
+++ b/crates/hornbeam_route/src/engine/spilling.rs
@@ -12,6 +12,7 @@
 use super::placement::ServerChoice;
 use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::Decision;
+use crate::region_rule::RegionRule;
 use crate::spill::choice::{AttemptView, HomeCopies, Scope, scope};
 use crate::spill::outflow::ShareChange;
 use crate::spill::share::{AwayLoad, UNSAFE_USE};
@@ -149,22 +150,23 @@
         service: usize,
         exclude: &[usize],
         due: Mono,
+        regions: &RegionRule,
     ) -> ServerChoice {
         let Some(mut spill) = self.spill.take() else {
-            return self.choose_server_in(now, service, exclude, due, &ZoneFilter::Any);
+            return self.choose_server_in(now, service, exclude, due, &ZoneFilter::Any, regions);
         };
         let plan = self.plan(now, &mut spill, service, exclude, due);
         self.spill = Some(spill);
         let mut result = ServerChoice::Unavailable;
         for filter in &plan.filters {
-            match self.choose_server_in(now, service, exclude, due, filter) {
+            match self.choose_server_in(now, service, exclude, due, filter, regions) {
                 ServerChoice::Unavailable => {}
                 ServerChoice::AtCapacity => result = ServerChoice::AtCapacity,
                 chosen => return chosen,
             }
         }
         if result == ServerChoice::Unavailable && plan.any_if_unavailable {
-            return self.choose_server_in(now, service, exclude, due, &ZoneFilter::Any);
+            return self.choose_server_in(now, service, exclude, due, &ZoneFilter::Any, regions);
         }
         if result == ServerChoice::AtCapacity {
             self.schedule_recheck(now, service);
@@ -236,7 +238,8 @@
     /// it has none.
     fn home_zones(&self, now: Mono, spill: &ZoneSpill, service: usize) -> Vec<SmolStr> {
         let servers = &self.services[service].servers;
-        if let Some(own) = servers.iter().find(|i| self.servers[**i].same_zone) {
+        let in_zone = |i: &&usize| self.servers[**i].same_zone && !self.servers[**i].evacuated;
+        if let Some(own) = servers.iter().find(in_zone) {
             return vec![self.servers[*own].zone.clone()];
         }
         let all = self.away_zones(service, &[]);
@@ -270,7 +273,8 @@
     fn is_zone_usable(&self, now: Mono, service: usize, zone: &SmolStr) -> bool {
         let mut servers = self.services[service].servers.iter().map(|i| &self.servers[*i]);
         !self.zones.is_unreachable(zone)
-            && servers.any(|s| s.zone == *zone && !s.is_ejected() && !s.is_paused(now))
+            && servers
+                .any(|s| s.zone == *zone && !s.evacuated && !s.is_ejected() && !s.is_paused(now))
     }
 
     fn home_copies(
@@ -288,7 +292,7 @@
             if !home.contains(&server.zone) || exclude.contains(idx) {
                 continue;
             }
-            if server.is_ejected() || server.is_paused(now) {
+            if server.evacuated || server.is_ejected() || server.is_paused(now) {
                 continue;
             }
             if self.zones.is_unreachable(&server.zone) {
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::notice::LeavingServer;
+use crate::region_rule::RegionRule;
 
 /// Reserve for the network round trip between the caller and this entry.
 const ROUND_TRIP_RESERVE: Duration = Duration::from_millis(6);
@@ -212,6 +213,8 @@
     pub is_revoked: bool,
     /// Matched route, from the table version in force on arrival.
     pub route: Arc<Route>,
+    /// Regions whose servers and entries may handle it.
+    pub regions: RegionRule,
     /// Table version of the route; the whole request uses this version.
     pub table: TableVersion,
     /// Arrival time.
@@ -255,6 +258,7 @@
             credential: None,
             is_revoked: false,
             route,
+            regions: RegionRule::default(),
             table: TableVersion(0),
             arrived: Mono::default(),
             deadline: Mono::default(),
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod routes;
 mod sim_server;
 mod sites;
+mod zone_orders;
 mod zones;
 
 use std::cmp::Reverse;
@@ -36,6 +37,7 @@
 pub use sites::{
     CHECKS_PER_SECOND, CONSORTIUM, FURNACE, HANAK, SWEEPS_PER_SECOND, Site, run_searches, warm_up,
 };
+pub use zone_orders::zone_orders;
 pub use zones::{SentAttempt, ZONE_SITE, run_zones};
 
 /// One-way network latency between two instances.
