A search of which no server ran anything is refused with 503

Cause: a gathering entry reported which shards it had not sent only if it reached none of their servers. A shard that servers had shed, that waited in vain or that was withheld counted at the origin as one that may have run, so the search ended with 502. The origin also ended it with the first report, while the reports of the other groups were still on their way.

Change: the last report names every shard without a possible run; those that no other entry is asked for are positions beyond the group, which older builds ignore. If only such reports can show whether anything ran, the refusal waits for them, at the latest until the response is due.

--- a/crates/hornbeam_protocol/src/gather.rs
+++ b/crates/hornbeam_protocol/src/gather.rs
@@ -78,7 +78,8 @@
     /// True if this is the last message about the group.
     pub last: bool,
     /// Positions of shards that were sent to no server, because the gathering entry reaches none of
-    /// theirs; only in the last message.
+    /// theirs; only in the last message. A position increased by the number of shards of the group
+    /// stands for a shard that no server ran for another reason; older builds ignore such positions.
     pub unsent: Vec<u32>,
 }
 
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -2,6 +2,7 @@
 
 use hornbeam_model::{AttemptId, Mono, QueryId, Target};
 
+use super::unsent::awaits_reports;
 use super::{Completion, Engine, Output};
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, ShardStatus};
@@ -24,7 +25,8 @@
         if enough && (awaited == 0 || is_due) {
             return self.complete(now, key, out);
         }
-        if !enough && running.responses + awaited + open(true) < running.min_shards {
+        let cannot_suffice = running.responses + awaited + open(true) < running.min_shards;
+        if !enough && cannot_suffice && (is_due || !awaits_reports(running)) {
             self.fail(now, key, out);
         }
     }
@@ -45,7 +47,8 @@
             self.refuse(now, key, RefusalKind::Overloaded, out);
             return true;
         }
-        false
+        self.complete_if_decided(now, key, out);
+        !self.requests.contains_key(&key)
     }
 
     /// Ends all requests, with the shard responses received if they suffice or else with a refusal.
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -239,6 +239,7 @@
         }
         if last {
             self.remove_group(group);
+            let count = shards.len();
             let mut unsent_shards = Vec::new();
             for (position, shard) in shards.into_iter().enumerate() {
                 let open = |r: &RunningRequest| r.shards[shard].status == ShardStatus::Open;
@@ -248,7 +249,8 @@
                 if unsent.contains(&position) {
                     unsent_shards.push(shard);
                 } else {
-                    self.mark_missing(key, shard);
+                    let has_not_run = unsent.contains(&(position + count));
+                    self.end_delegated(key, shard, has_not_run);
                 }
             }
             self.retry_unsent(now, key, unsent_shards, (&peer, is_relay), out);
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -168,18 +168,6 @@
         out.push(Output::RefuseGroup { request, refusal });
     }
 
-    /// Returns the positions of the missing shards that were sent to no server, because this entry
-    /// reaches none of theirs.
-    fn unsent_shards(&self, now: Mono, key: QueryId) -> Vec<usize> {
-        let Some(running) = self.requests.get(&key) else { return Vec::new() };
-        let is_unsent = |s: &ShardProgress| {
-            let received = matches!(s.status, ShardStatus::Received(_));
-            !received && s.possible_runs == 0 && self.all_out_of_reach(now, s.service)
-        };
-        let shards = running.shards.iter().enumerate();
-        shards.filter(|(_, s)| is_unsent(s)).map(|(i, _)| i).collect()
-    }
-
     /// Sends the hedges and retries that waited for the confirmation of the origin entry.
     pub(super) fn on_gather_confirmed(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
         let Some(running) = self.requests.get_mut(&key) else { return };
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -178,7 +178,8 @@
     /// True if this is the last report on the group.
     pub last: bool,
     /// Positions within the group of shards that were sent to no server, because the gathering entry
-    /// reaches none of theirs; set only in the last report.
+    /// reaches none of theirs; beyond the group for those that were not run for another reason. Set
+    /// only in the last report.
     pub unsent: Vec<usize>,
 }
 
@@ -358,7 +359,7 @@
         /// True if this is the last report of the group.
         last: bool,
         /// Positions within the group of shards that were sent to no server, because this entry
-        /// reaches none of theirs.
+        /// reaches none of theirs; beyond the group for those that were not run for another reason.
         unsent: Vec<usize>,
     },
     /// Forward a server's response to the origin entry of a gathered request, which ends the group.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -31,6 +31,7 @@
 mod relaying;
 mod servers;
 mod startup;
+mod unsent;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
