Second copies of a search wait while servers end under it

Change: once two servers have ended under a search without any response, its retries and hedges wait for the checks of these servers. A check that finds a server running, or a response, releases them. If all checks confirm the ends, one copy at a time is sent, at most until two copies have ended their servers as well; then the search is refused.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -434,6 +434,7 @@
                 "server_rate"
             }
             Decision::ServerEnded { .. } => "server_ended",
+            Decision::CopiesHeld { .. } => "copies_held",
             Decision::Quarantined { .. } => {
                 self.metrics.quarantines.inc();
                 "quarantined"
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -201,6 +201,13 @@
         fingerprint: Fingerprint,
         crashes: usize,
     },
+    /// Several servers have ended under a search. Its second copies wait until the servers are checked
+    /// or one responds.
+    CopiesHeld {
+        request: SmolStr,
+        #[serde(serialize_with = "serialize_text")]
+        fingerprint: Fingerprint,
+    },
     /// A request is not sent to servers any more, because it has ended `crashes` servers.
     Quarantined {
         #[serde(serialize_with = "serialize_text")]
@@ -241,6 +248,7 @@
                 | Self::RateIgnored { .. }
                 | Self::ServerEnded { .. }
                 | Self::Quarantined { .. }
+                | Self::CopiesHeld { .. }
                 | Self::GroupFailed { .. }
                 | Self::GroupRefused { .. }
                 | Self::PeerSuspected { .. }
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -5,6 +5,7 @@
 use hornbeam_model::{AttemptId, Mono, QueryId};
 
 use super::{AttemptOutcome, Engine, InFlightAttempt, MAX_TIMER_DELAY, Output, Timer};
+use crate::copy_hold::CopyVerdict;
 use crate::decision::Decision;
 use crate::notice::ServerNotice;
 use crate::request::ShardStatus;
@@ -273,7 +274,13 @@
             }
             return false;
         }
+        let verdict = self.copy_verdict(key, shard);
+        if may_run && verdict == CopyVerdict::Held {
+            self.hold_copy(key, shard);
+            return false;
+        }
         let allowed = may_run
+            && verdict == CopyVerdict::Allowed
             && progress.attempts < super::placement::MAX_ATTEMPTS_PER_SHARD
             && now < running.deadline;
         if allowed && self.should_relay(now, running, shard) {
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -11,6 +11,7 @@
     /// Completes a request if it has enough shard responses and either the response is due or no
     /// other shard is worth waiting for. Ends it as failed if it can no longer get enough of them.
     pub(super) fn complete_if_decided(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
+        self.release_copies(now, key, out);
         let Some(running) = self.requests.get(&key) else { return };
         if running.is_group() {
             return self.report_or_end_group(now, key, out);
--- a/crates/hornbeam_route/src/engine/crashes.rs
+++ b/crates/hornbeam_route/src/engine/crashes.rs
@@ -98,6 +98,7 @@
         let (id, incarnation, address) = (server.id.clone(), server.incarnation, server.address);
         let run = CrashedRun { fingerprint, server: id.clone(), incarnation, span, cleared: false };
         self.crash_history.record(now, run);
+        self.record_search_end(in_flight, out);
         if self.pending_checks.insert(id.clone(), incarnation) != Some(incarnation) {
             let witnesses = self.witnesses(in_flight.server);
             out.push(Output::CheckServer { server: id, incarnation, address, witnesses });
@@ -125,7 +126,8 @@
             self.pending_checks.swap_remove(server);
         }
         if !has_ended {
-            return self.crash_history.discard_unconfirmed(server, incarnation);
+            self.crash_history.discard_unconfirmed(server, incarnation);
+            return self.release_after_check(now, (server, incarnation), has_ended, out);
         }
         if let Some(idx) = self.server_names.get(server).copied()
             && self.servers[idx].incarnation == incarnation
@@ -139,6 +141,7 @@
             out.push(Output::Log(Decision::ServerEnded { server, fingerprint, crashes }));
         }
         self.drop_quarantined(now, out);
+        self.release_after_check(now, (server, incarnation), has_ended, out);
     }
 
     pub(super) fn on_crash_reports(
--- a/crates/hornbeam_route/src/engine/hedging.rs
+++ b/crates/hornbeam_route/src/engine/hedging.rs
@@ -6,6 +6,7 @@
 
 use super::placement::{PlannedAttempt, ServerChoice};
 use super::{Engine, MAX_TIMER_DELAY, Output};
+use crate::copy_hold::CopyVerdict;
 use crate::decision::{AttemptKind, Decision};
 use crate::request::ShardStatus;
 
@@ -92,6 +93,7 @@
         let progress = &running.shards[shard];
         if progress.possible_runs >= running.allowed_attempts()
             || self.is_quarantined(now, key, shard)
+            || self.copy_verdict(key, shard) != CopyVerdict::Allowed
         {
             return false;
         }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod admission;
 mod attempts;
 mod completion;
+mod copies;
 mod crashes;
 mod delegation;
 mod detachment;
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -14,6 +14,7 @@
 
 use super::admission::DEFAULT_RETRY_AFTER;
 use super::{Engine, Output, group_size};
+use crate::copy_hold::CopyVerdict;
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, ShardStatus};
 use crate::server::Server;
@@ -127,6 +128,7 @@
             && running.may_run(shard)
             && now < running.deadline
             && !self.is_quarantined(now, key, shard)
+            && self.copy_verdict(key, shard) == CopyVerdict::Allowed
             && (deliveries == 0 || self.retry_allowed(now, key, service))
     }
 
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - `access`: detects that this entry reaches no backend server
 //! - [`budget`]: limit on hedges and retries per service
+//! - `copy_hold`: second copies of the shards of a search under which servers end
 //! - [`crash_history`]: requests that end the servers that run them
 //! - `demand`: request rate of this entry and its part of that of all entries
 //! - `rate_meter`: mean rate of requests
@@ -23,6 +24,7 @@
 
 mod access;
 pub mod budget;
+mod copy_hold;
 pub mod crash_history;
 pub mod decision;
 mod demand;
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::copy_hold::CopyHold;
 use crate::notice::LeavingServer;
 
 /// Reserve for the network round trip between the caller and this entry.
@@ -95,6 +96,8 @@
     pub delegated: bool,
     /// Number of times that it was relayed to another entry.
     pub relays: u32,
+    /// True while its second copy is held back, because servers have just ended under the search.
+    pub held: bool,
     /// True if its retry waits until the origin entry has confirmed the group.
     pub awaits_confirmation: bool,
     /// The last error response, forwarded to the caller if no successful one arrives.
@@ -117,6 +120,7 @@
             not_awaited: false,
             delegated: false,
             relays: 0,
+            held: false,
             awaits_confirmation: false,
             error_response: None,
         }
@@ -220,6 +224,8 @@
     pub reclaim_at: Option<Mono>,
     /// Why another entry refused to gather shards of it; nothing of these ran.
     pub refusal: Option<Refusal>,
+    /// Servers that ended under it, if it is a search.
+    pub copy_hold: CopyHold,
     /// Additional state of a group that is gathered for an origin entry; `None` for a caller's
     /// request.
     pub gather: Option<GatherState>,
@@ -247,6 +253,7 @@
             groups: Vec::new(),
             reclaim_at: None,
             refusal: None,
+            copy_hold: CopyHold::default(),
             gather: None,
         }
     }
