A warm-up that starts again reaches the entries

Cause: a controller published a claim only if the remaining warm-up became or stopped being zero, and an entry compared claims without their order. A server that was cold for longer than first stated, or became cold again, was believed to be warm too early.

Change: a remaining warm-up that grows is published, and a later claim of a cold server is one that has started again although its numbers are the same.

--- a/crates/hornbeam_discovery/src/directory.rs
+++ b/crates/hornbeam_discovery/src/directory.rs
@@ -212,7 +212,11 @@
             return Some(ServerUpdate::Unusable { server, stage });
         };
         let unchanged = published.is_some_and(|p| {
-            p.info == claim.info && p.order.incarnation == claim.order.incarnation
+            let is_cold = claim.info.as_ref().is_some_and(|info| info.warm_up_ms > 0);
+            // The same remaining warm-up in a later heartbeat is one that has started again.
+            p.info == claim.info
+                && p.order.incarnation == claim.order.incarnation
+                && (!is_cold || p.order == claim.order)
         });
         if unchanged {
             return None;
--- a/crates/hornbeam_discovery/src/registry.rs
+++ b/crates/hornbeam_discovery/src/registry.rs
@@ -148,7 +148,12 @@
     if !same_stage {
         return true;
     }
-    // The remaining warm-up time falls with each heartbeat; only its end matters.
+    // The remaining warm-up time falls with each heartbeat; its end matters, and that it starts again or
+    // is prolonged.
+    let left = |c: &ServerClaim| c.info.as_ref().map_or(0, |o| o.warm_up_ms);
+    if left(new) > left(old) {
+        return true;
+    }
     let published = |c: &ServerClaim| {
         c.info
             .as_ref()
