Cold servers get a limited rate from all entries together

Cause: a server that came back cold got its usual part at once. The servers of a zone that come back together while callers' demand is at its peak crash well above the rate that they bear.

Change: the routing table gives the rate of a cold server, so that every entry takes its part without asking: by reported demand, or an equal one without reports. Heartbeats and the response header for the remaining warm-up start it. A token is needed for every send. The demand is reported with a statement of no rate, which older builds read. The header with a server's load is read as well; it has no effect yet.

Services without a rate are served as before.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -13,7 +13,7 @@
 
 use hornbeam_model::{RequestRate, ServerId};
 use hornbeam_node::socket;
-use hornbeam_route::{Attempt, AttemptOutcome, PauseRequest, RateNotice, ServerNotice};
+use hornbeam_route::{Attempt, AttemptOutcome, LoadNotice, PauseRequest, RateNotice, ServerNotice};
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap};
 use smol_str::SmolStr;
@@ -23,6 +23,7 @@
 use crate::core::{Core, ForwardedRequest};
 use crate::dialect::Dialect;
 use crate::response::{RawResponse, read_response};
+use crate::server_statements::{parse_load, parse_warm_up};
 
 /// Longest time to open a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -315,7 +316,9 @@
         matches!(response.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
     let retry_after = response.header(&header::RETRY_AFTER).filter(|_| refuses);
     let rate = response.header(&dialect.rate_limit).map_or(RateNotice::Unstated, parse_rate);
-    ServerNotice { leaving, pause: retry_after.map(parse_pause), rate }
+    let warm_up = response.header(&dialect.warm_up_ms).and_then(parse_warm_up);
+    let load = response.header(&dialect.load).map_or(LoadNotice::Unstated, parse_load);
+    ServerNotice { leaving, pause: retry_after.map(parse_pause), rate, warm_up, load }
 }
 
 /// Parses the rate that a server states: requests per second, possibly with a fraction.
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -433,6 +433,14 @@
                 self.metrics.notices.with_label_values(&[label]).inc();
                 "server_rate"
             }
+            Decision::ServerCold { .. } => {
+                self.metrics.notices.with_label_values(&["cold"]).inc();
+                "server_cold"
+            }
+            Decision::ColdWait { .. } => {
+                self.metrics.cold_waits.inc();
+                "cold_wait"
+            }
             Decision::ServerEnded { .. } => "server_ended",
             Decision::CopiesHeld { .. } => "copies_held",
             Decision::Quarantined { .. } => {
@@ -443,6 +451,10 @@
                 self.metrics.notices.with_label_values(&["unreadable"]).inc();
                 "rate_ignored"
             }
+            Decision::LoadIgnored { .. } => {
+                self.metrics.notices.with_label_values(&["unreadable"]).inc();
+                "load_ignored"
+            }
             Decision::PauseIgnored { .. } => {
                 self.metrics.notices.with_label_values(&["unreadable"]).inc();
                 "pause_ignored"
--- a/crates/hornbeam_entry/src/dialect.rs
+++ b/crates/hornbeam_entry/src/dialect.rs
@@ -21,6 +21,10 @@
     /// Header by which a server states the requests a second that it accepts from all entries
     /// together: a decimal number.
     pub rate_limit: HeaderName,
+    /// Header by which a server states for how many milliseconds it is still cold.
+    pub warm_up_ms: HeaderName,
+    /// Header by which a server states its load; see [`crate::server_statements`].
+    pub load: HeaderName,
     /// Header with a server's signature of its response.
     pub signature: HeaderName,
     /// Header with the signatures of the shard responses that a merged response includes.
@@ -40,6 +44,8 @@
             not_run: HeaderName::from_static("hornbeam-not-run"),
             leaving: HeaderName::from_static("hornbeam-leaving"),
             rate_limit: HeaderName::from_static("hornbeam-rate-limit"),
+            warm_up_ms: HeaderName::from_static("hornbeam-warmup-ms"),
+            load: HeaderName::from_static("hornbeam-load"),
             signature: HeaderName::from_static("hornbeam-signature"),
             shard_signatures: HeaderName::from_static("hornbeam-part-signatures"),
             missing_shards: HeaderName::from_static("hornbeam-lacking-shards"),
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`feed_connection`]: the connection to one controller
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - [`metrics`]: Prometheus metrics
+//! - [`server_statements`]: parses what servers state about load and warm-up
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
@@ -29,6 +30,7 @@
 pub mod peer_connection;
 pub mod response;
 pub mod run;
+pub mod server_statements;
 
 pub use dialect::Dialect;
 pub use run::run;
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -23,6 +23,8 @@
     pub outcomes: IntCounterVec,
     /// Servers that stated in a response that they are leaving or want a pause, by kind.
     pub notices: IntCounterVec,
+    /// Shards that waited because the servers of their service are cold.
+    pub cold_waits: IntCounter,
     /// Missing shards of merged responses.
     pub missing_shards: IntCounter,
     /// Connections opened to backend servers, including those that fail to open.
@@ -69,6 +71,10 @@
                 "Servers that stated that they are leaving, want a pause or accept a rate.",
                 "kind",
             ),
+            cold_waits: counter(
+                "hornbeam_entry_cold_waits_total",
+                "Shards that waited because the servers of their service are cold.",
+            ),
             missing_shards: counter(
                 "hornbeam_entry_missing_shards_total",
                 "Missing shards of merged responses.",
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -13,8 +13,8 @@
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::HealthReport;
-use hornbeam_route::{Engine, EngineParams, Input, RetryBudgetParams, ServerChange};
-use hornbeam_settings::FleetSettings;
+use hornbeam_route::{ColdBounds, Engine, EngineParams, Input, RetryBudgetParams, ServerChange};
+use hornbeam_settings::{FleetSettings, WarmUpSettings};
 use hyper::StatusCode;
 use serde_json::json;
 use snafu::ResultExt;
@@ -87,7 +87,9 @@
     let mut hup = signal(SignalKind::hangup()).context(StartSnafu { what: "SIGHUP" })?;
     let clock = Clock::start();
     let metrics = Metrics::default();
-    let engine = Engine::new(engine_params(&settings));
+    let mut engine = Engine::new(engine_params(&settings));
+    let WarmUpSettings { overshoot, tolerance } = settings.warm_up;
+    engine.set_cold_bounds(ColdBounds { overshoot, tolerance });
     let ready_path = dialect.ready_path.clone();
     let key = FrameKey::new(settings.key.as_bytes());
     let group_exchange = GroupExchange::new(settings.instance.clone(), key);
@@ -219,7 +221,10 @@
         FeedEvent::RateReports(reports) => core.step(Input::RateReports(reports)),
         FeedEvent::FleetDemand(rate) => core.step(Input::FleetDemand(rate)),
         FeedEvent::EntryCount(entries) => core.step(Input::EntryCount(entries)),
-        FeedEvent::FeedCounts(feeds) => core.on_feed_counts(feeds),
+        FeedEvent::FeedCounts(feeds) => {
+            core.step(Input::CutOff(feeds.fresh < feeds.known));
+            core.on_feed_counts(feeds);
+        }
     }
 }
 
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -217,8 +217,21 @@
     /// A server states another rate of requests that it accepts from all entries together, or none
     /// any more. `entries` share it.
     ServerRate { server: ServerId, service: ServiceId, rate: Option<RequestRate>, entries: u32 },
+    /// A server is cold for `left_ms` and bears this rate of requests of all `entries` together.
+    ServerCold {
+        server: ServerId,
+        service: ServiceId,
+        rate: RequestRate,
+        left_ms: u64,
+        entries: u32,
+    },
+    /// A shard waits because `cold` servers of its service bear no other request of this entry yet; the
+    /// next one of them does in `wait_ms`.
+    ColdWait { request: SmolStr, service: ServiceId, cold: usize, wait_ms: u64 },
     /// A server stated a rate that cannot be read; what it stated before holds.
     RateIgnored { request: SmolStr, server: ServerId },
+    /// A server stated a load that cannot be read; it is left out.
+    LoadIgnored { request: SmolStr, server: ServerId },
     /// A server became usable, changed or became unusable.
     ServerChanged { server: ServerId, service: ServiceId, usable: bool, why: &'static str },
     /// A routing table is in force.
@@ -246,6 +259,7 @@
                 | Self::ServersLost { .. }
                 | Self::PauseIgnored { .. }
                 | Self::RateIgnored { .. }
+                | Self::LoadIgnored { .. }
                 | Self::ServerEnded { .. }
                 | Self::Quarantined { .. }
                 | Self::CopiesHeld { .. }
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -31,6 +31,8 @@
         self.record_outcome(now, &in_flight, outcome, out);
         self.apply_notice(now, &in_flight, notice, out);
         self.record_stated_rate(now, &in_flight, outcome, notice.rate, out);
+        self.record_stated_warm_up(now, &in_flight, notice.warm_up, out);
+        self.record_stated_load(now, &in_flight, notice.load, out);
         match outcome {
             AttemptOutcome::Answered => self.clear_suspect(now, &in_flight),
             AttemptOutcome::ConnectionLost => self.check_server(now, &in_flight, out),
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -118,6 +118,8 @@
     Isolated(bool),
     /// Number of entries that share the retry budget and the connections to servers.
     EntryCount(u32),
+    /// Whether this entry has no fresh feed of some controller.
+    CutOff(bool),
     /// Request rate of all entries together.
     FleetDemand(RequestRate),
     /// Other entries reported unhealthy servers.
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -18,6 +18,7 @@
 
 mod admission;
 mod attempts;
+mod cold;
 mod completion;
 mod copies;
 mod crashes;
@@ -45,8 +46,8 @@
 };
 use hornbeam_traffic::latency::LatencyWindow;
 use indexmap::IndexMap;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use smol_str::SmolStr;
 
 pub use self::delegation::group_size;
@@ -56,9 +57,11 @@
     GroupReport, Input, Output, ServerChange, ServerHealthReport,
 };
 use crate::access::ServerAccess;
+use crate::cold_limit::ColdBounds;
 use crate::crash_history::CrashHistory;
 use crate::decision::AttemptKind;
 use crate::demand::Demand;
+use crate::fleet_size::FleetSize;
 use crate::notice::LeavingServers;
 use crate::peers::Peers;
 use crate::rate_limit::RateLimits;
@@ -139,6 +142,10 @@
     /// Positions in `servers` that can be reused.
     free_positions: Vec<usize>,
     entries: u32,
+    fleet_size: FleetSize,
+    cold_bounds: ColdBounds,
+    /// Random phase of this entry's tokens for cold servers, from 0 to below 1.
+    cold_phase: f64,
     demand: Demand,
     requests: HashMap<QueryId, RunningRequest>,
     attempts: HashMap<AttemptId, InFlightAttempt>,
@@ -183,6 +190,10 @@
             awaiting_table: IndexMap::new(),
             free_positions: Vec::new(),
             entries: ASSUMED_ENTRY_COUNT,
+            fleet_size: FleetSize::default(),
+            cold_bounds: ColdBounds::default(),
+            // Another generator, so that the draws of all other decisions stay as they are.
+            cold_phase: SmallRng::seed_from_u64(!params.seed).random(),
             demand: Demand::default(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
@@ -233,6 +244,7 @@
                 }
             }
             Input::EntryCount(entries) => self.on_entry_count(now, entries),
+            Input::CutOff(is_cut_off) => self.fleet_size.set_cut_off(is_cut_off),
             Input::FleetDemand(rate) => {
                 self.demand.set_fleet(rate);
                 self.update_shares(now);
--- a/crates/hornbeam_route/src/engine/notices.rs
+++ b/crates/hornbeam_route/src/engine/notices.rs
@@ -10,6 +10,7 @@
 use super::{Engine, InFlightAttempt, Output, Timer};
 use crate::decision::Decision;
 use crate::notice::{LeavingServer, MAX_PAUSE, PauseRequest, ServerNotice};
+use crate::stated_load::LoadNotice;
 
 /// Random increase of a pause in percent, so that the entries do not all return at its end.
 const PAUSE_SPREAD_PERCENT: f64 = 25.0;
@@ -58,6 +59,25 @@
         }
     }
 
+    /// Records the load that a server stated in the response to an attempt.
+    pub(super) fn record_stated_load(
+        &mut self,
+        now: Mono,
+        in_flight: &InFlightAttempt,
+        load: LoadNotice,
+        out: &mut Vec<Output>,
+    ) {
+        let server = &mut self.servers[in_flight.server];
+        match load {
+            LoadNotice::Unstated => {}
+            LoadNotice::Stated(load) => server.record_stated_load(now, load),
+            LoadNotice::Unreadable => out.push(Output::Log(Decision::LoadIgnored {
+                request: in_flight.id.clone(),
+                server: server.id.clone(),
+            })),
+        }
+    }
+
     /// Stops sending requests to a server that is leaving. Its attempts in flight continue.
     pub(super) fn on_server_leaving(
         &mut self,
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -119,6 +119,7 @@
                 self.send_if_allowed(now, (key, shard), (server, cost), out)
             }
             ServerChoice::AtCapacity => {
+                self.log_cold_wait(now, key, shard, out);
                 self.enqueue(key, shard);
                 true
             }
--- a/crates/hornbeam_route/src/engine/rates.rs
+++ b/crates/hornbeam_route/src/engine/rates.rs
@@ -11,6 +11,8 @@
 use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
 use crate::decision::Decision;
 use crate::notice::RateNotice;
+use crate::rate_limit::RateLimit;
+use crate::server::Server;
 
 impl Engine {
     /// Returns the rates that servers state, with the demand for each at this entry. The reported
@@ -71,8 +73,9 @@
     fn apply_rate(&mut self, now: Mono, server: &ServerId, out: &mut Vec<Output>) {
         let Some(idx) = self.server_names.get(server).copied() else { return };
         let s = &mut self.servers[idx];
-        let rate = self.rate_limits.in_force(server, s.incarnation).and_then(|l| l.stated());
-        let was_limited = std::mem::replace(&mut s.rate_limited, rate.is_some());
+        let limit = self.rate_limits.in_force(now, server, s.incarnation);
+        let rate = limit.and_then(|l| l.stated());
+        let was_limited = std::mem::replace(&mut s.rate_limited, limit.is_some());
         let service = s.service;
         if rate.is_none() && !was_limited {
             return;
@@ -94,10 +97,12 @@
             return true;
         }
         let Some(limit) = self.rate_limits.get_mut(&s.id, s.incarnation) else { return true };
-        if limit.has_token(now, self.entries) {
+        let size = self.fleet_size;
+        let has_cold_token = limit.has_cold_token(now, size, self.cold_phase);
+        if limit.has_token(now, self.entries) && has_cold_token {
             return true;
         }
-        if let Some(at) = limit.schedule_wake(now, self.entries) {
+        if let Some(at) = limit.schedule_wake(now, self.entries, size) {
             self.timers.push(Reverse((at, Timer::ServerAvailable(s.service))));
         }
         false
@@ -130,14 +135,17 @@
         let service = &self.services[service];
         let servers = service.servers.iter().map(|i| &self.servers[*i]);
         let available: Vec<_> = servers.filter(|s| !s.is_paused(now) && !s.is_ejected()).collect();
-        if !available.iter().all(|s| s.rate_limited) {
+        let limit = |s: &&Server| self.rate_limits.in_force(now, &s.id, s.incarnation);
+        if !available.iter().all(|s| s.rate_limited && limit(s).is_some()) {
             return Duration::ZERO;
         }
         let requests = (service.waiters_ahead(priority) + 1) as f64;
         let requests = (requests / available.len().max(1) as f64).max(1.0);
-        let limits =
-            available.iter().filter_map(|s| self.rate_limits.in_force(&s.id, s.incarnation));
-        let waits = limits.map(|l| l.wait_for(now, self.entries, requests));
+        let size = self.fleet_size;
+        let wait = |l: &RateLimit| {
+            l.wait_for(now, self.entries, requests).max(l.cold_wait(now, size, requests))
+        };
+        let waits = available.iter().filter_map(limit).map(wait);
         waits.min().unwrap_or_default()
     }
 }
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -59,12 +59,14 @@
             Some(idx) => *idx,
             None => self.new_server(Server::new(server.clone(), address, position, share)),
         };
+        let has_cold_rate = self.cold_rate(&service).is_some();
         let s = &mut self.servers[idx];
         s.incarnation = incarnation;
         s.same_zone = zone == self.params.zone;
         s.zone = SmolStr::new(zone.as_str());
         s.slots = slots.max(1);
-        s.warm_up_until = now + warm_up;
+        let stated = if has_cold_rate { s.warm_up_until } else { Mono::default() };
+        s.warm_up_until = stated.max(now + warm_up);
         s.set_share(share);
         // A server that lapsed and is announced again still wants its pause.
         if let Some((paused, until)) = self.pauses.get(&s.id)
@@ -74,12 +76,13 @@
         {
             s.pause(*until);
         }
-        s.rate_limited = self.rate_limits.in_force(&s.id, incarnation).is_some();
+        s.rate_limited = self.rate_limits.in_force(now, &s.id, incarnation).is_some();
         if !self.services[position].servers.contains(&idx) {
             self.services[position].servers.push(idx);
         }
         let why = "heartbeat";
         out.push(Output::Log(Decision::ServerChanged { server, service, usable: true, why }));
+        self.apply_warm_up(now, idx, out);
     }
 
     fn new_server(&mut self, server: Server) -> usize {
@@ -165,9 +168,11 @@
         out.push(Output::Log(Decision::TableInForce { table: table.version, routes }));
         self.table = Some(table);
         self.update_shares(now);
+        self.apply_warm_ups(now, out);
     }
 
     pub(super) fn on_entry_count(&mut self, now: Mono, entries: u32) {
+        self.fleet_size.record(now, entries);
         if self.entries != entries.max(1) {
             self.entries = entries.max(1);
             self.update_shares(now);
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -5,9 +5,11 @@
 //!
 //! - `access`: detects that this entry reaches no backend server
 //! - [`budget`]: limit on hedges and retries per service
+//! - [`cold_limit`]: this entry's part of the rate that a cold server bears
 //! - `copy_hold`: second copies of the shards of a search under which servers end
 //! - [`crash_history`]: requests that end the servers that run them
 //! - `demand`: request rate of this entry and its part of that of all entries
+//! - [`fleet_size`]: number of entries that share a limit
 //! - `rate_meter`: mean rate of requests
 //! - [`rate_limit`]: this entry's part of the rates that servers state
 //! - [`server`]: measurements and limits of one backend server
@@ -16,6 +18,7 @@
 //! - `silence`: detects that a set of servers has become silent together
 //! - [`zones`]: detects that a whole zone has become unreachable
 //! - [`split`]: weighted distribution of requests over services
+//! - [`stated_load`]: load that a server states, and what it adds to the cost of the server
 //! - [`merge`]: merges the records of shard responses into one ranking
 //! - [`notice`]: servers that leave, ask for a pause or state a rate
 //! - [`decision`]: decisions and their reasons, for the log
@@ -24,11 +27,13 @@
 
 mod access;
 pub mod budget;
+pub mod cold_limit;
 mod copy_hold;
 pub mod crash_history;
 pub mod decision;
 mod demand;
 pub mod engine;
+pub mod fleet_size;
 pub mod merge;
 pub mod notice;
 pub mod peers;
@@ -39,9 +44,11 @@
 pub mod service;
 mod silence;
 pub mod split;
+pub mod stated_load;
 pub mod zones;
 
 pub use budget::{RetryBudget, RetryBudgetParams};
+pub use cold_limit::ColdBounds;
 pub use crash_history::CrashHistory;
 pub use decision::{AttemptKind, Decision, GroupFailure};
 pub use engine::{
@@ -52,3 +59,4 @@
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
 pub use peers::{Peer, Peers, ProbePath};
 pub use request::{Refusal, RefusalKind};
+pub use stated_load::{LoadNotice, StatedLoad};
--- a/crates/hornbeam_route/src/notice.rs
+++ b/crates/hornbeam_route/src/notice.rs
@@ -1,11 +1,13 @@
 //! What backend servers state about themselves in responses: that they are leaving, that they want
-//! no requests for some time, or how many requests a second they accept.
+//! no requests for some time, how many requests a second they accept, that they are cold, or their load.
 
 use std::time::Duration;
 
 use hornbeam_model::{Incarnation, RequestRate, ServerId};
 use indexmap::IndexMap;
 
+use crate::stated_load::LoadNotice;
+
 /// Longest pause that a server can ask for. A longer one is cut to this, so that a wrong value does
 /// not exclude a server until its restart.
 pub const MAX_PAUSE: Duration = Duration::from_secs(300);
@@ -22,6 +24,10 @@
     pub pause: Option<PauseRequest>,
     /// Rate that the server accepts.
     pub rate: RateNotice,
+    /// Remaining time for which the server is cold, if it states one.
+    pub warm_up: Option<Duration>,
+    /// Load of the server.
+    pub load: LoadNotice,
 }
 
 /// The request rate that a server states in a response.
--- a/crates/hornbeam_route/src/rate_limit.rs
+++ b/crates/hornbeam_route/src/rate_limit.rs
@@ -9,6 +9,9 @@
 use hornbeam_model::{Incarnation, Mono, RateStatement, RequestRate, ServerId};
 use indexmap::IndexMap;
 
+use crate::cold_limit::{ColdBounds, ColdLimit};
+use crate::fleet_size::FleetSize;
+
 /// Age up to which the demand of all entries counts; it allows for two lost reports.
 const MAX_DEMAND_AGE: Duration = Duration::from_millis(1_500);
 /// Time for which the highest reported demand is used. Several controllers report it, and one that
@@ -51,6 +54,8 @@
     wanted_at: Option<Mono>,
     /// Time of the pending wake-up for queued requests.
     wake_at: Mono,
+    /// Limit while the server is cold, whatever rate it states.
+    cold: Option<ColdLimit>,
 }
 
 impl RateLimit {
@@ -65,6 +70,7 @@
             refilled_at: now,
             wanted_at: None,
             wake_at: now,
+            cold: None,
         }
     }
 
@@ -117,18 +123,45 @@
         self.tokens >= 1.0
     }
 
+    /// Returns true if the server is not cold or bears another request of this entry now. `phase` is the
+    /// random number of this entry, from 0 to below 1.
+    pub fn has_cold_token(&mut self, now: Mono, size: FleetSize, phase: f64) -> bool {
+        let cold = self.cold.as_mut().filter(|c| c.is_active(now));
+        cold.is_none_or(|c| c.has_token(now, size, phase))
+    }
+
+    /// Returns true while the server is cold.
+    pub fn is_cold(&self, now: Mono) -> bool {
+        self.cold.as_ref().is_some_and(|c| c.is_active(now))
+    }
+
     /// Uses a token for a request that is sent.
     pub fn take(&mut self) {
         self.tokens -= 1.0;
+        if let Some(cold) = &mut self.cold {
+            cold.take();
+        }
     }
 
     /// Returns the token of a request that was not sent after all.
     pub fn refund(&mut self) {
         self.tokens += 1.0;
+        if let Some(cold) = &mut self.cold {
+            cold.refund();
+        }
+    }
+
+    /// Returns the time until the server bears `requests` requests although it is cold.
+    pub fn cold_wait(&self, now: Mono, size: FleetSize, requests: f64) -> Duration {
+        let cold = self.cold.as_ref().filter(|c| c.is_active(now));
+        cold.map_or(Duration::ZERO, |c| c.wait_for(now, size, requests))
     }
 
-    /// Returns the time until `requests` requests may have been sent.
+    /// Returns the time until the stated rate allows `requests` requests.
     pub fn wait_for(&self, now: Mono, entries: u32, requests: f64) -> Duration {
+        if self.stated().is_none() {
+            return Duration::ZERO;
+        }
         let allowed = self.allowed_rate(now, entries);
         let gained = allowed * now.since(self.refilled_at).as_secs_f64();
         let lacking = (requests - self.tokens - gained).max(0.0);
@@ -137,11 +170,12 @@
     }
 
     /// Returns the time of the next token if no wake-up is pending, and records one for then.
-    pub fn schedule_wake(&mut self, now: Mono, entries: u32) -> Option<Mono> {
+    pub fn schedule_wake(&mut self, now: Mono, entries: u32, size: FleetSize) -> Option<Mono> {
         if self.wake_at > now {
             return None;
         }
-        let wait = self.wait_for(now, entries, 1.0).min(WANTED_TIME);
+        let wait = self.wait_for(now, entries, 1.0).max(self.cold_wait(now, size, 1.0));
+        let wait = wait.min(WANTED_TIME);
         self.wake_at = now + wait.max(Duration::from_millis(1));
         Some(self.wake_at)
     }
@@ -163,11 +197,49 @@
         self.servers.get_mut(server).filter(|l| l.statement.incarnation == incarnation)
     }
 
-    /// Returns the limit of a server, if this start of the server states a rate now.
-    pub fn in_force(&self, server: &ServerId, incarnation: Incarnation) -> Option<&RateLimit> {
+    /// Returns the limit of a server, if this start of the server states a rate now or is cold.
+    pub fn in_force(
+        &self,
+        now: Mono,
+        server: &ServerId,
+        incarnation: Incarnation,
+    ) -> Option<&RateLimit> {
         let limit = self.servers.get(server)?;
-        let applies = limit.statement.incarnation == incarnation && limit.stated().is_some();
-        applies.then_some(limit)
+        let is_limited = limit.stated().is_some() || limit.is_cold(now);
+        (limit.statement.incarnation == incarnation && is_limited).then_some(limit)
+    }
+
+    /// Limits the requests to a server that is cold until `until`. Returns true if it was not cold.
+    pub fn set_cold(
+        &mut self,
+        now: Mono,
+        (server, incarnation): (&ServerId, Incarnation),
+        (rate, bounds): (RequestRate, ColdBounds),
+        until: Mono,
+    ) -> bool {
+        if self.get_mut(server, incarnation).is_none() {
+            // Any statement of the server replaces this one, with which the demand for it is reported.
+            let (server, version) = (server.clone(), 0);
+            self.adopt(now, RateStatement { server, incarnation, version, rate: None });
+        }
+        let Some(limit) = self.get_mut(server, incarnation) else { return false };
+        match limit.cold.as_mut().filter(|c| c.is_active(now)) {
+            Some(cold) => {
+                cold.renew(rate, until);
+                false
+            }
+            None => {
+                limit.cold = Some(ColdLimit::new(now, rate, bounds, until));
+                true
+            }
+        }
+    }
+
+    /// Ends the warm-up of a server.
+    pub fn end_cold(&mut self, server: &ServerId) {
+        if let Some(limit) = self.servers.get_mut(server) {
+            limit.cold = None;
+        }
     }
 
     /// Records what a server stated in the response to an attempt that was sent at `sent_at`. The
@@ -219,6 +291,9 @@
             if replaced {
                 limit.fleet_demand = Some((demand, now));
             }
+            if let Some(cold) = &mut limit.cold {
+                cold.record_total(now, demand);
+            }
         }
         changed
     }
@@ -250,13 +325,16 @@
     ) -> Vec<(RateStatement, RequestRate)> {
         let mut reports = Vec::new();
         for limit in self.servers.values_mut() {
-            if limit.stated().is_none() && now >= limit.report_until {
+            if limit.stated().is_none() && now >= limit.report_until && !limit.is_cold(now) {
                 continue;
             }
             let Some(demand) = demand(&limit.statement.server, limit.statement.incarnation) else {
                 continue;
             };
             limit.own_demand = demand;
+            if let Some(cold) = &mut limit.cold {
+                cold.record_own(demand);
+            }
             reports.push((limit.statement.clone(), demand));
         }
         reports
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -6,6 +6,8 @@
 use hornbeam_model::{AttemptId, Incarnation, Mono, ServerId};
 use smol_str::SmolStr;
 
+use crate::stated_load::{LoadEstimate, StatedLoad};
+
 /// Weight of one latency sample in the moving average of a server's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Time in which the slowness of a server without responses decays halfway back to 1.0.
@@ -96,6 +98,8 @@
     probed_at: Mono,
     /// End of the pause that the server asked for; in the past if there is none.
     paused_until: Mono,
+    /// Load that the server stated last.
+    stated_load: Option<LoadEstimate>,
 }
 
 impl Server {
@@ -125,6 +129,7 @@
             ejected_until: None,
             probed_at: Mono::default(),
             paused_until: Mono::default(),
+            stated_load: None,
         }
     }
 
@@ -218,7 +223,7 @@
     /// Estimates the latency of a response of this server, relative to the usual one of an idle
     /// server in the same zone. `usual` is the usual latency of its service.
     pub fn cost(&self, now: Mono, usual: Duration) -> f64 {
-        let queue = 1.0 + self.outstanding.len() as f64 / f64::from(self.slots.max(1));
+        let queue = self.queue();
         let mut cost =
             self.slowness(now) * queue * (1.0 + FAILURE_RATE_COST_FACTOR * self.failure_rate);
         if !self.same_zone {
@@ -236,6 +241,22 @@
         cost
     }
 
+    fn queue(&self) -> f64 {
+        1.0 + self.outstanding.len() as f64 / f64::from(self.slots.max(1))
+    }
+
+    /// Records the load that the server states in a response.
+    pub fn record_stated_load(&mut self, now: Mono, load: StatedLoad) {
+        self.stated_load = Some(LoadEstimate::new(now, load, self.outstanding.len()));
+    }
+
+    /// Returns the factor on the cost for the load that the server stated, 1 if it stated none. `weight`
+    /// is a random number from 0 to below 1.
+    pub fn stated_load_factor(&self, now: Mono, weight: impl FnOnce() -> f64) -> f64 {
+        let measured = (self.queue(), self.slowness(now));
+        self.stated_load.map_or(1.0, |load| load.cost_factor(now, measured, weight))
+    }
+
     /// Returns the expected latency of this server with an empty queue.
     pub fn expected_latency(&self, now: Mono, usual: Duration) -> Duration {
         usual.mul_f64(self.slowness(now))
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports)]
 
+mod cold;
 mod crashes;
 pub mod harness;
 mod links;
@@ -286,6 +287,9 @@
             queue: VecDeque::new(),
             queue_limit: 12,
             arrivals: 0,
+            states_load: false,
+            cold_until: Mono::default(),
+            warm_up: None,
             rate: None,
             arrived_at: Vec::new(),
         });
@@ -303,14 +307,16 @@
     fn announcement(&self, server: usize) -> ServerChange {
         let SimServer { name, slots, incarnation, .. } = &self.servers[server];
         let (service, copy) = name.as_str().rsplit_once('-').expect("named by add_server");
-        usable(
+        let left = self.servers[server].cold_until.since(self.now);
+        let usable = usable(
             name,
             service.parse().unwrap(),
             copy.parse().unwrap(),
             *slots,
             self.zones,
             *incarnation,
-        )
+        );
+        cold::with_warm_up(usable, left)
     }
 
     /// Sets the number of requests that each server processes concurrently.
--- a/crates/hornbeam_route/tests/common/sim_server.rs
+++ b/crates/hornbeam_route/tests/common/sim_server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeam_model::{Mono, RequestRate, ServerId};
-use hornbeam_route::{PauseRequest, RateNotice, ServerNotice};
+use hornbeam_route::{LoadNotice, PauseRequest, RateNotice, ServerNotice, StatedLoad};
 
 use super::AttemptKey;
 
@@ -49,6 +49,12 @@
     pub(super) queue: VecDeque<(AttemptKey, Duration, Mono)>,
     pub(super) queue_limit: usize,
     pub arrivals: u64,
+    /// True if it states its load in its responses.
+    pub states_load: bool,
+    /// End of the warm-up that its heartbeats state.
+    pub cold_until: Mono,
+    /// Remaining warm-up that it states in its responses.
+    pub warm_up: Option<Duration>,
     /// Rate that it states in its responses.
     pub rate: Option<RequestRate>,
     /// Times at which requests arrived.
@@ -64,7 +70,23 @@
             _ => None,
         };
         let rate = self.rate.filter(|_| responds).map_or(RateNotice::Unstated, RateNotice::Stated);
-        ServerNotice { leaving: self.leaving && responds, pause, rate }
+        let load = match self.states_load && responds {
+            true => LoadNotice::Stated(self.load()),
+            false => LoadNotice::Unstated,
+        };
+        let warm_up = self.warm_up.filter(|_| responds);
+        ServerNotice { leaving: self.leaving && responds, pause, rate, warm_up, load }
+    }
+
+    /// The load that the server states, with the slowness of its fault.
+    fn load(&self) -> StatedLoad {
+        let slowness = if let Fault::Slow(x) = self.fault { x } else { 1.0 };
+        StatedLoad {
+            running: self.running.len() as u32,
+            waiting: self.queue.len() as u32,
+            slots: self.slots as u32,
+            slowness_percent: (slowness * 100.0) as u32,
+        }
     }
 
     /// End of work that starts now, including the pauses in between.
--- a/crates/hornbeam_route/tests/notices.rs
+++ b/crates/hornbeam_route/tests/notices.rs
@@ -8,14 +8,19 @@
 use common::{World, scatter, single};
 use hornbeam_model::{AttemptId, Incarnation, Mono, Route};
 use hornbeam_route::{
-    AttemptOutcome, Completion, Decision, Input, LeavingServer, MAX_PAUSE, Output, PauseRequest,
-    RateNotice, RefusalKind, ServerChange, ServerNotice,
+    AttemptOutcome, Completion, Decision, Input, LeavingServer, LoadNotice, MAX_PAUSE, Output,
+    PauseRequest, RateNotice, RefusalKind, ServerChange, ServerNotice,
 };
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
-const LEAVING: ServerNotice =
-    ServerNotice { leaving: true, pause: None, rate: RateNotice::Unstated };
+const LEAVING: ServerNotice = ServerNotice {
+    leaving: true,
+    pause: None,
+    rate: RateNotice::Unstated,
+    warm_up: None,
+    load: LoadNotice::Unstated,
+};
 
 fn pause(time: Duration) -> ServerNotice {
     ServerNotice { pause: Some(PauseRequest::For(time)), ..ServerNotice::default() }
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -38,6 +38,23 @@
     }
 }
 
+/// What a cold server may get beyond its rate in any second, from all entries together.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WarmUpSettings {
+    /// Factor on the rate; at least 1.
+    pub overshoot: f64,
+    /// Number of requests beyond that; at least 1.
+    pub tolerance: f64,
+}
+
+impl Default for WarmUpSettings {
+    /// Returns half of the rate and five requests.
+    fn default() -> Self {
+        Self { overshoot: 1.5, tolerance: 5.0 }
+    }
+}
+
 /// Maximum rates of structured log lines, each per kind of line; lines above the rate are counted and
 /// dropped.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -106,6 +123,9 @@
     /// Retry budget of the whole fleet for each service.
     #[serde(default)]
     pub budget: RetryBudgetSettings,
+    /// What a cold server may get beyond its rate.
+    #[serde(default)]
+    pub warm_up: WarmUpSettings,
     /// Maximum rates of structured log lines.
     #[serde(default)]
     pub log: LogRates,
@@ -161,6 +181,11 @@
         if !(0.0..=1.0).contains(&self.budget.ratio) {
             return refuse("budget", "ratio is outside 0 to 1", "use 0 to 1");
         }
+        let WarmUpSettings { overshoot, tolerance } = self.warm_up;
+        if [overshoot, tolerance].iter().any(|n| !n.is_finite() || *n < 1.0) {
+            let problem = "overshoot or tolerance is below 1 or not finite";
+            return refuse("warm_up", problem, "use at least 1 for both");
+        }
         let rates = [self.log.failures_per_s, self.log.others_per_s];
         if rates.iter().any(|r| !r.is_finite() || *r < 0.0) {
             return refuse("log", "a rate is negative or not finite", "use 0 or more");
--- a/crates/hornbeam_settings/tests/fleet_settings.rs
+++ b/crates/hornbeam_settings/tests/fleet_settings.rs
@@ -30,6 +30,7 @@
     assert_eq!(settings.feed_address(seed).unwrap().to_string(), "127.0.0.1:7380");
     assert_eq!(settings.control_address(seed).unwrap().to_string(), "127.0.0.1:7381");
     assert_eq!(settings.target_voters(), 1);
+    assert_eq!(settings.warm_up.overshoot, 1.5);
 }
 
 #[test]
@@ -44,6 +45,7 @@
     no_folder = { "api: 127.0.0.9:8106\n", "data_dir" },
     ratio = { "budget: {ratio: 2, window_s: 10, allowance: 3}\n", "use 0 to 1" },
     window = { "budget: {ratio: 0.1, window_s: 0, allowance: 3}\n", "use at least 1" },
+    warm_up = { "warm_up: {overshoot: 0.5, tolerance: 5}\n", "use at least 1" },
     log = { "log: {failures_per_s: -1, others_per_s: 3}\n", "use 0 or more" },
     mistyped = { "tolerated_losses: many\n", "" },
 )]
