The load that servers state adds to their cost

Cause: an entry sees a small part of what a server with two slots does if 87 entries share it.

Change: requests of other entries and the momentary slowness, as the server stated them within the last tenths of a second, change the cost of the server by a bounded factor, with a random weight in each choice.

--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -261,7 +261,8 @@
             }
             let server = &self.servers[idx];
             let jitter = 1.0 + self.rng.random_range(0.0..COST_JITTER);
-            let cost = server.cost(now, usual) * jitter;
+            let stated = server.stated_load_factor(now, || self.rng.random());
+            let cost = server.cost(now, usual) * stated * jitter;
             if self.zones.is_unreachable(&server.zone) {
                 // A retry or hedge replaces an attempt that failed, so it is no probe.
                 // An ejected server may have ended, which would say nothing about its zone.
