--- a/crates/hornbeam_route/src/cold_limit.rs
+++ b/crates/hornbeam_route/src/cold_limit.rs
@@ -21,7 +21,7 @@
 use crate::fleet_size::FleetSize;
 
 /// Standard deviations of the number of arrivals in a window that the limit leaves room for. At 5, about
-/// one window in a million exceeds it when every entry wants more than its part.
+/// one window in 100,000 exceeds it if all entries use their valid tokens at once.
 const SPREAD_DEVIATIONS: f64 = 5.0;
 /// Variance of the number of tokens that one entry gets in a window with a random phase, at most.
 const MAX_PHASE_VARIANCE: f64 = 0.25;
