Tests for reset connections under a search and for a partition

Change: a search whose four connections are reset sends one retry at once and the others after the checks; six entries without some controllers divide a cold rate equally although each side hears half of the demand.

Result: second_copies connections_reset, cold_servers partition.

--- a/crates/hornbeam_route/tests/cold_servers.rs
+++ b/crates/hornbeam_route/tests/cold_servers.rs
@@ -163,3 +163,32 @@
     let used = sent.len() as f64 / (8.0 * rate);
     assert!(used > 0.25, "{used:.2} of the rate is used");
 }
+
+/// Guards against the two sides of a partition that each divide the whole rate, since their controllers hear
+/// half of the demand.
+#[test]
+fn partition() {
+    let (entries, rate) = (6, RequestRate::from_per_second(8.0).unwrap());
+    let start = Mono::from_millis(50_000);
+    let mut size = FleetSize::default();
+    size.record(Mono::from_millis(1), entries);
+    size.set_cut_off(true);
+    let limit = ColdLimit::new(start, rate, ColdBounds::default(), start + 100 * SECOND);
+    let mut limits = vec![limit; entries as usize];
+    let demand = RequestRate::from_per_second(10.0).unwrap();
+    let mut sent = 0;
+    for tick in 0..500_u32 {
+        let now = start + Duration::from_millis(20) * tick;
+        for limit in &mut limits {
+            if tick % 20 == 0 {
+                limit.record_own(demand);
+                limit.record_total(now, RequestRate(3 * demand.0));
+            }
+            while limit.has_token(now, size, 0.5) {
+                limit.take();
+                sent += 1;
+            }
+        }
+    }
+    assert!(f64::from(sent) <= 8.0 * 10.0 + 17.0, "{sent} in ten seconds");
+}
--- a/crates/hornbeam_route/tests/second_copies.rs
+++ b/crates/hornbeam_route/tests/second_copies.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
-use common::{CONSORTIUM, Fault, World};
-use hornbeam_route::{Completion, Decision};
+use common::harness::{Harness, MS, T, usable};
+use common::{CONSORTIUM, Fault, World, scatter};
+use hornbeam_model::{AttemptId, Incarnation, ServerId};
+use hornbeam_route::{AttemptOutcome, Completion, Decision, Input, Output, ServerChange};
 
 const SECOND: Duration = Duration::from_secs(1);
 const SHARDS: usize = 20;
@@ -77,3 +79,46 @@
         assert!(ended.responses >= SHARDS - 1, "seed {seed}: {} responses", ended.responses);
     }
 }
+
+/// Takes the attempts and checked servers out of the outputs.
+fn take_outputs(harness: &mut Harness) -> (Vec<AttemptId>, Vec<ServerId>) {
+    let (mut attempts, mut checks) = (Vec::new(), Vec::new());
+    for output in std::mem::take(&mut harness.out) {
+        match output {
+            Output::SendAttempt(attempt) => attempts.push(attempt.id),
+            Output::CheckServer { server, .. } => checks.push(server),
+            _ => {}
+        }
+    }
+    (attempts, checks)
+}
+
+/// Guards against copies that wait although the connections were lost for another reason, and against
+/// copies that are sent before that is known.
+#[test]
+fn connections_reset() {
+    let mut harness = Harness::new(scatter("lookup", 4, 250, 0.9), 1_000);
+    for (shard, copy) in (0..4).flat_map(|shard| [(shard, 0), (shard, 1)]) {
+        let mut change = usable(10 * shard + copy, 1);
+        if let ServerChange::Usable { service, .. } = &mut change {
+            *service = format!("s{shard}").parse().unwrap();
+        }
+        harness.step(T, Input::Servers(vec![change]));
+    }
+    harness.send_request(T, 7);
+    let (attempts, _) = take_outputs(&mut harness);
+    assert_eq!(attempts.len(), 4);
+    for attempt in attempts {
+        let outcome = AttemptOutcome::ConnectionLost;
+        let notice = Default::default();
+        harness.step(T + MS, Input::AttemptFinished { attempt, outcome, notice });
+    }
+    let (copies, checks) = take_outputs(&mut harness);
+    assert_eq!((copies.len(), checks.len()), (1, 4), "the first end is followed by a retry");
+    for server in checks {
+        let incarnation = Incarnation(1);
+        let checked = Input::ServerChecked { server, incarnation, has_ended: false };
+        harness.step(T + 50 * MS, checked);
+    }
+    assert_eq!(take_outputs(&mut harness).0.len(), 3, "the others are retried");
+}
