--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - `zone_orders`: orders about zones, and servers that are not used before they are known
 //! - [`metrics`]: Prometheus metrics
+//! - [`server_statements`]: parses what servers state about load and warm-up
 //! - `zone_traffic`: counts what is exchanged with the servers of each zone
 //! - [`mod@run`]: starts, runs and drains an entry
 
@@ -38,6 +39,7 @@
 pub mod request;
 pub mod response;
 pub mod run;
+pub mod server_statements;
 mod team_fields;
 mod zone_orders;
 mod zone_traffic;
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -15,9 +15,10 @@
 use hornbeam_protocol::FrameKey;
 use hornbeam_protocol::discovery::HealthReport;
 use hornbeam_route::{
-    ControllerContact, Engine, EngineParams, Input, RetryBudgetParams, ServerChange, SpillParams,
+    ColdBounds, ControllerContact, Engine, EngineParams, Input, RetryBudgetParams, ServerChange,
+    SpillParams,
 };
-use hornbeam_settings::FleetSettings;
+use hornbeam_settings::{FleetSettings, WarmUpSettings};
 use hyper::StatusCode;
 use serde_json::json;
 use snafu::ResultExt;
@@ -83,6 +84,8 @@
 /// Returns the engine of an entry, without a routing table or servers.
 fn engine(settings: &FleetSettings, now: Mono) -> Engine {
     let mut engine = Engine::new(engine_params(settings)).with_regions(settings.zone_regions());
+    let WarmUpSettings { overshoot, tolerance } = settings.warm_up;
+    engine.set_cold_bounds(ColdBounds { overshoot, tolerance });
     if let Some(spill) = settings.zone_spill {
         let time = |ms: f64| Duration::from_secs_f64(ms / 1e3);
         let params = SpillParams {
@@ -245,7 +248,10 @@
         FeedEvent::RateReports(reports) => core.step(Input::RateReports(reports)),
         FeedEvent::FleetDemand(rate) => core.step(Input::FleetDemand(rate)),
         FeedEvent::EntryCount(entries) => core.step(Input::EntryCount(entries)),
-        FeedEvent::FeedCounts(feeds) => core.on_feed_counts(feeds),
+        FeedEvent::FeedCounts(feeds) => {
+            core.step(Input::CutOff(feeds.fresh < feeds.known));
+            core.on_feed_counts(feeds);
+        }
     }
 }
 
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -5,6 +5,7 @@
 use hornbeam_model::{AttemptId, Mono, QueryId};
 
 use super::{AttemptOutcome, Engine, InFlightAttempt, MAX_TIMER_DELAY, Output, Timer};
+use crate::copy_hold::CopyVerdict;
 use crate::decision::Decision;
 use crate::notice::ServerNotice;
 use crate::request::ShardStatus;
@@ -30,6 +31,8 @@
         self.record_outcome(now, &in_flight, outcome, out);
         self.apply_notice(now, &in_flight, notice, out);
         self.record_stated_rate(now, &in_flight, outcome, notice.rate, out);
+        self.record_stated_warm_up(now, &in_flight, notice.warm_up, out);
+        self.record_stated_load(now, &in_flight, notice.load, out);
         match outcome {
             AttemptOutcome::Answered => self.clear_suspect(now, &in_flight),
             AttemptOutcome::ConnectionLost => self.check_server(now, &in_flight, out),
@@ -279,7 +282,13 @@
             }
             return false;
         }
+        let verdict = self.copy_verdict(key, shard);
+        if may_run && verdict == CopyVerdict::Held {
+            self.hold_copy(key, shard);
+            return false;
+        }
         let allowed = may_run
+            && verdict == CopyVerdict::Allowed
             && progress.attempts < super::placement::MAX_ATTEMPTS_PER_SHARD
             && now < running.deadline;
         if allowed && self.should_relay(now, running, shard) {
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -2,6 +2,7 @@
 
 use hornbeam_model::{AttemptId, Mono, QueryId, Target};
 
+use super::unsent::awaits_reports;
 use super::{Completion, Engine, Output};
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, ShardStatus};
@@ -10,6 +11,7 @@
     /// Completes a request if it has enough shard responses and either the response is due or no
     /// other shard is worth waiting for. Ends it as failed if it can no longer get enough of them.
     pub(super) fn complete_if_decided(&mut self, now: Mono, key: QueryId, out: &mut Vec<Output>) {
+        self.release_copies(now, key, out);
         let Some(running) = self.requests.get(&key) else { return };
         if running.is_group() {
             return self.report_or_end_group(now, key, out);
@@ -24,7 +26,8 @@
         if enough && (awaited == 0 || is_due) {
             return self.complete(now, key, out);
         }
-        if !enough && running.responses + awaited + open(true) < running.min_shards {
+        let cannot_suffice = running.responses + awaited + open(true) < running.min_shards;
+        if !enough && cannot_suffice && (is_due || !awaits_reports(running)) {
             self.fail(now, key, out);
         }
     }
@@ -45,7 +48,8 @@
             self.refuse(now, key, RefusalKind::Overloaded, out);
             return true;
         }
-        false
+        self.complete_if_decided(now, key, out);
+        !self.requests.contains_key(&key)
     }
 
     /// Ends all requests, with the shard responses received if they suffice or else with a refusal.
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -125,6 +125,8 @@
     Isolated(bool),
     /// Number of entries that share the retry budget and the connections to servers.
     EntryCount(u32),
+    /// Whether this entry has no fresh feed of some controller.
+    CutOff(bool),
     /// Request rate of all entries together.
     FleetDemand(RequestRate),
     /// Other entries reported unhealthy servers.
@@ -185,7 +187,8 @@
     /// True if this is the last report on the group.
     pub last: bool,
     /// Positions within the group of shards that were sent to no server, because the gathering entry
-    /// reaches none of theirs; set only in the last report.
+    /// reaches none of theirs; beyond the group for those that were not run for another reason. Set
+    /// only in the last report.
     pub unsent: Vec<usize>,
 }
 
@@ -383,7 +386,7 @@
         /// True if this is the last report of the group.
         last: bool,
         /// Positions within the group of shards that were sent to no server, because this entry
-        /// reaches none of theirs.
+        /// reaches none of theirs; beyond the group for those that were not run for another reason.
         unsent: Vec<usize>,
     },
     /// Forward a server's response to the origin entry of a gathered request, which ends the group.
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -124,6 +124,7 @@
                 self.send_if_allowed(now, (key, shard), (server, cost), out)
             }
             ServerChoice::AtCapacity => {
+                self.log_cold_wait(now, key, shard, out);
                 self.enqueue(key, shard);
                 true
             }
@@ -276,7 +277,8 @@
             }
             let server = &self.servers[idx];
             let jitter = 1.0 + self.rng.random_range(0.0..COST_JITTER);
-            let cost = server.cost(now, usual) * jitter;
+            let stated = server.stated_load_factor(now, || self.rng.random());
+            let cost = server.cost(now, usual) * stated * jitter;
             if self.zones.is_unreachable(&server.zone) {
                 // A retry or hedge replaces an attempt that failed, so it is no probe.
                 // An ejected server may have ended, which would say nothing about its zone.
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -61,12 +61,14 @@
         };
         let same_zone = zone == self.params.zone;
         let share = self.share_by_zone(position, share, same_zone);
+        let has_cold_rate = self.cold_rate(&service).is_some();
         let s = &mut self.servers[idx];
         s.incarnation = incarnation;
         s.same_zone = same_zone;
         s.zone = SmolStr::new(zone.as_str());
         s.slots = slots.max(1);
-        s.warm_up_until = now + warm_up;
+        let stated = if has_cold_rate { s.warm_up_until } else { Mono::default() };
+        s.warm_up_until = stated.max(now + warm_up);
         s.set_share(share);
         // A server that lapsed and is announced again still wants its pause.
         if let Some((paused, until)) = self.pauses.get(&s.id)
@@ -76,13 +78,14 @@
         {
             s.pause(*until);
         }
-        s.rate_limited = self.rate_limits.in_force(&s.id, incarnation).is_some();
+        s.rate_limited = self.rate_limits.in_force(now, &s.id, incarnation).is_some();
         self.apply_zone_rules(&zone, idx);
         if !self.services[position].servers.contains(&idx) {
             self.services[position].servers.push(idx);
         }
         let why = "heartbeat";
         out.push(Output::Log(Decision::ServerChanged { server, service, usable: true, why }));
+        self.apply_warm_up(now, idx, out);
     }
 
     fn new_server(&mut self, server: Server) -> usize {
@@ -175,9 +178,11 @@
         self.table = Some(table);
         self.update_shares(now);
         self.stop_revoked(now, out);
+        self.apply_warm_ups(now, out);
     }
 
     pub(super) fn on_entry_count(&mut self, now: Mono, entries: u32) {
+        self.fleet_size.record(now, entries);
         if self.entries != entries.max(1) {
             self.entries = entries.max(1);
             self.update_shares(now);
--- a/crates/hornbeam_route/src/engine/zone_rules.rs
+++ b/crates/hornbeam_route/src/engine/zone_rules.rs
@@ -104,7 +104,7 @@
             out.push(Output::Log(Decision::ZoneEvacuated { zone, index, servers }));
         }
         for zone in changes.ended {
-            let servers = self.use_again(&zone);
+            let servers = self.use_again(now, &zone, out);
             out.push(Output::Log(Decision::ZoneReturned { zone, index, servers }));
         }
         // Queued shards that no server is left for end at once.
@@ -149,11 +149,12 @@
     }
 
     /// Uses the servers of a zone again, as cold as after their start, and returns their number.
-    fn use_again(&mut self, zone: &Zone) -> usize {
+    fn use_again(&mut self, now: Mono, zone: &Zone, out: &mut Vec<Output>) -> usize {
         let servers = self.servers_in(zone);
         for idx in &servers {
             self.apply_zone_rules(zone, *idx);
             self.servers[*idx].return_from_evacuation();
+            self.apply_warm_up(now, *idx, out);
         }
         servers.len()
     }
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::copy_hold::CopyHold;
 use crate::notice::LeavingServer;
 use crate::region_rule::RegionRule;
 
@@ -108,6 +109,8 @@
     pub delegated: bool,
     /// Number of times that it was relayed to another entry.
     pub relays: u32,
+    /// True while its second copy is held back, because servers have just ended under the search.
+    pub held: bool,
     /// True if its retry waits until the origin entry has confirmed the group.
     pub awaits_confirmation: bool,
     /// The last error response, forwarded to the caller if no successful one arrives.
@@ -130,6 +133,7 @@
             not_awaited: false,
             delegated: false,
             relays: 0,
+            held: false,
             awaits_confirmation: false,
             error_response: None,
         }
@@ -241,6 +245,8 @@
     pub reclaim_at: Option<Mono>,
     /// Why another entry refused to gather shards of it; nothing of these ran.
     pub refusal: Option<Refusal>,
+    /// Servers that ended under it, if it is a search.
+    pub copy_hold: CopyHold,
     /// Additional state of a group that is gathered for an origin entry; `None` for a caller's
     /// request.
     pub gather: Option<GatherState>,
@@ -272,6 +278,7 @@
             groups: Vec::new(),
             reclaim_at: None,
             refusal: None,
+            copy_hold: CopyHold::default(),
             gather: None,
         }
     }
