Quotas of teams: decision of an entry, sums at a controller

Cause: a team's rate and burst hold over all entries together; an entry sees one part of the requests and hears of the others up to a second late. Change: controllers run one token bucket for each team, which the reported admissions of all entries empty, and report its balance, the demand and the waiting requests of the teams near their quota. Entries admit everything while the balance covers the demand until the next report, and otherwise the same part of what they are asked for; a bucket of their own bounds a team that reaches one entry only. Without a controller they use an equal part. Not connected to the engine yet.

--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`initial_sync`]: whether an entry has received the controllers' state after its start
 //! - [`health_reports`]: health reports of entries about servers, aggregated at a controller
 //! - [`rate_reports`]: rates that servers state, and the demand for them, aggregated at a controller
+//! - [`team_usage`]: use of the teams' quotas, summed up at a controller
 
 pub mod crash_reports;
 pub mod directory;
@@ -21,6 +22,7 @@
 pub mod rate_reports;
 pub mod registry;
 pub mod saved_servers;
+pub mod team_usage;
 
 pub use crash_reports::{CrashReports, SavedCrashes};
 pub use directory::{Directory, ServerUpdate};
@@ -31,3 +33,4 @@
 pub use rate_reports::RateReports;
 pub use registry::{Registry, RegistryParams};
 pub use saved_servers::SavedServers;
+pub use team_usage::TeamUsages;
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`routing`]: routing table, its validation and route lookup
 //! - [`policy`]: rules of a routing table about teams, regions and cold servers
 //! - [`team`]: teams of callers, their keys and quotas
+//! - [`team_usage`]: use of the teams' quotas
 //! - [`search`]: request and reply bodies of backend servers
 //! - [`config`]: replicated configuration and its validation
 //! - [`change`]: configuration changes and their application
@@ -32,6 +33,7 @@
 pub mod server;
 pub mod shards;
 pub mod team;
+pub mod team_usage;
 pub mod time;
 
 pub use change::{Change, ChangeError};
@@ -56,4 +58,5 @@
 pub use server::{Announcement, AnnouncementError, IndexHolding, ServerState};
 pub use shards::{ShardRange, ShardRanges};
 pub use team::{KeyDigest, Team};
+pub use team_usage::{FleetUsage, QuotaBalance, TeamTotal, TeamUsage, UsageReport};
 pub use time::Mono;
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`crash_history`]: requests that end the servers that run them
 //! - `demand`: request rate of this entry and its part of that of all entries
 //! - `rate_meter`: mean rate of requests
+//! - [`quota`]: quotas of teams over all entries together
 //! - [`rate_limit`]: this entry's part of the rates that servers state
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
@@ -30,6 +31,7 @@
 pub mod merge;
 pub mod notice;
 pub mod peers;
+pub mod quota;
 pub mod rate_limit;
 mod rate_meter;
 pub mod request;
@@ -49,4 +51,5 @@
 pub use merge::merge_records;
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
 pub use peers::{Peer, Peers, ProbePath};
+pub use quota::{QuotaBounds, Quotas};
 pub use request::{Refusal, RefusalKind};
