Settings: how far the requests of a team may exceed its quota

Cause: the bounds on the requests in a window differ between deployments. Result: settings/fleet_settings passes with three more cases.

--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -38,6 +38,40 @@
     }
 }
 
+/// How far the requests of a team in a window may exceed its quota, summed over all entries.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct QuotaSettings {
+    /// Length of the window, in seconds; at least 1.
+    pub window_s: f64,
+    /// Part by which rate and burst may be exceeded, from 0 to 1.
+    pub overshoot: f64,
+    /// Requests by which they may be exceeded in addition.
+    pub tolerance: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { window_s: 5.0, overshoot: 0.1, tolerance: 20.0 }
+    }
+}
+
+impl QuotaSettings {
+    /// Returns what is wrong with the settings, and the remedy.
+    fn problem(&self) -> Option<(&'static str, &'static str)> {
+        if !self.window_s.is_finite() || self.window_s < 1.0 {
+            return Some(("window_s is shorter than a second", "use at least 1"));
+        }
+        if !(0.0..=1.0).contains(&self.overshoot) {
+            return Some(("overshoot is outside 0 to 1", "use 0 to 1"));
+        }
+        if !self.tolerance.is_finite() || self.tolerance < 0.0 {
+            return Some(("tolerance is negative or not finite", "use 0 or more"));
+        }
+        None
+    }
+}
+
 /// Maximum rates of structured log lines, each per kind of line; lines above the rate are counted and
 /// dropped.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -106,6 +140,9 @@
     /// Retry budget of the whole fleet for each service.
     #[serde(default)]
     pub budget: RetryBudgetSettings,
+    /// How far the requests of a team may exceed its quota.
+    #[serde(default)]
+    pub quota: QuotaSettings,
     /// Maximum rates of structured log lines.
     #[serde(default)]
     pub log: LogRates,
@@ -161,6 +198,9 @@
         if !(0.0..=1.0).contains(&self.budget.ratio) {
             return refuse("budget", "ratio is outside 0 to 1", "use 0 to 1");
         }
+        if let Some((problem, remedy)) = self.quota.problem() {
+            return refuse("quota", problem, remedy);
+        }
         let rates = [self.log.failures_per_s, self.log.others_per_s];
         if rates.iter().any(|r| !r.is_finite() || *r < 0.0) {
             return refuse("log", "a rate is negative or not finite", "use 0 or more");
--- a/crates/hornbeam_settings/src/lib.rs
+++ b/crates/hornbeam_settings/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod settings;
 
 pub use error::SettingsError;
-pub use fleet::{FleetSettings, LogRates, RetryBudgetSettings};
+pub use fleet::{FleetSettings, LogRates, QuotaSettings, RetryBudgetSettings};
 pub use secret::Secret;
 pub use settings::{Peer, Role, Settings};
--- a/crates/hornbeam_settings/tests/fleet_settings.rs
+++ b/crates/hornbeam_settings/tests/fleet_settings.rs
@@ -44,6 +44,9 @@
     no_folder = { "api: 127.0.0.9:8106\n", "data_dir" },
     ratio = { "budget: {ratio: 2, window_s: 10, allowance: 3}\n", "use 0 to 1" },
     window = { "budget: {ratio: 0.1, window_s: 0, allowance: 3}\n", "use at least 1" },
+    quota_window = { "quota: {window_s: 0}\n", "use at least 1" },
+    quota_overshoot = { "quota: {overshoot: 2}\n", "use 0 to 1" },
+    quota_tolerance = { "quota: {tolerance: -1}\n", "use 0 or more" },
     log = { "log: {failures_per_s: -1, others_per_s: 3}\n", "use 0 or more" },
     mistyped = { "tolerated_losses: many\n", "" },
 )]
