Controllers list only teams near their quota, and start anew after a pause

A controller that had been paused counted all that was reported during its pause as recent, and its balance stayed too low for as long as the burst lasted. Change: a team is listed from 0.7 of its rate and one request a second on, or from 0.7 of its burst and two requests on. After a pause balances start at zero, and reports of the first 500 ms change counts only.

--- a/crates/hornbeam_discovery/src/team_usage.rs
+++ b/crates/hornbeam_discovery/src/team_usage.rs
@@ -22,6 +22,8 @@
 /// Longest time for which a quota is refilled, or admissions are counted, at once. After a pause
 /// or a partition, older admissions are outside the window and older credit was used elsewhere.
 const MAX_GAP: Duration = Duration::from_millis(1_500);
+/// Time after a pause in which reports may have been sent during it.
+const OLD_REPORTS_TIME: Duration = Duration::from_millis(500);
 /// Time without a message after which an entry is no longer heard; it allows for one lost heartbeat.
 pub const ENTRY_SILENCE: Duration = Duration::from_millis(900);
 /// Longest deficit, as the time in which a quota makes up for it, and requests in addition. Bounds the
@@ -29,8 +31,11 @@
 const MAX_DEFICIT: (Duration, f64) = (Duration::from_secs(3), 20.0);
 /// Time without a feed after which the counts of an entry are forgotten.
 const ENTRY_TTL: Duration = Duration::from_secs(60);
-/// Part of its quota that a team has to use to be listed.
-const NEAR_PART: f64 = 0.5;
+/// Part of its rate that a team has to ask for, or of its burst that it has to use up, to be listed.
+const NEAR_PART: f64 = 0.7;
+/// Rate and number of requests below which a team is not listed: of 83 teams that send a request in ten
+/// seconds, 20 would be at any time.
+const MIN_NEAR: (f64, f64) = (1.0, 2.0);
 /// Latest report of an entry about one team.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reported {
@@ -79,9 +84,10 @@
 
     /// Returns true if the team uses so much of its quota that the entries have to know.
     fn is_near(&self, part: f64) -> bool {
-        // One request is no sign of a team that uses up a small burst.
-        let low = self.burst * part * NEAR_PART - 1.0;
-        RequestRate(self.asked).per_second() >= self.rate * part * NEAR_PART || self.balance < low
+        let (least_asked, least_used) = MIN_NEAR;
+        let asked = RequestRate(self.asked).per_second();
+        let low = self.burst * part * (1.0 - NEAR_PART) - least_used;
+        asked >= (self.rate * part * NEAR_PART).max(least_asked) || self.balance < low
     }
 }
 
@@ -91,6 +97,8 @@
     started_at: Mono,
     /// Time of the latest call of [`TeamUsages::observe`].
     observed_at: Mono,
+    /// Time from which admissions count; reports that arrive earlier may be from during a pause.
+    counts_from: Mono,
     policy: Arc<TrafficPolicy>,
     entries: IndexMap<InstanceId, KnownEntry>,
     accounts: IndexMap<TeamId, Account>,
@@ -106,6 +114,7 @@
         Self {
             started_at: now,
             observed_at: now,
+            counts_from: now,
             policy: Arc::default(),
             entries: IndexMap::new(),
             accounts: IndexMap::new(),
@@ -114,11 +123,16 @@
         }
     }
 
-    /// Records that the controller runs; called at every heartbeat. After a pause it starts anew, since
-    /// it cannot tell which of the counts that it missed are recent.
+    /// Records that the controller runs; called at every heartbeat. After a pause the balances start
+    /// anew, since it cannot tell which of the counts that it missed are recent.
     pub fn observe(&mut self, now: Mono) {
         if now.since(self.observed_at) >= MAX_GAP {
-            *self = Self::new(now);
+            self.started_at = now;
+            self.counts_from = now + OLD_REPORTS_TIME;
+            for account in self.accounts.values_mut() {
+                account.balance = 0.0;
+                account.refilled_at = now;
+            }
         }
         self.observed_at = now;
     }
@@ -236,7 +250,8 @@
         let base = if is_baseline { admitted } else { 0 };
         let before = known.teams.get(&team).copied();
         let counted = before.map_or(base, |r| r.admitted);
-        let added = (admitted as f64 - counted as f64) * known.recent_part;
+        let counts = if now < self.counts_from { 0.0 } else { known.recent_part };
+        let added = (admitted as f64 - counted as f64) * counts;
         let changed = added != 0.0 || before.is_none_or(|r| r.asked != asked);
         known.teams.insert(team.clone(), Reported { admitted, asked, waiting, at: now });
         let Some(account) = self.accounts.get_mut(&team) else { return };
--- a/crates/hornbeam_model/src/team_usage.rs
+++ b/crates/hornbeam_model/src/team_usage.rs
@@ -84,6 +84,6 @@
     pub known: u32,
     /// Time for which the controller has counted, in milliseconds.
     pub counted_ms: u32,
-    /// Teams that are near their quota; the others use less than half of theirs.
+    /// Teams that are near their quota; the others may use all of theirs meanwhile.
     pub teams: Vec<TeamTotal>,
 }
