--- a/crates/hornbeam_discovery/src/lib.rs
+++ b/crates/hornbeam_discovery/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`health_reports`]: health reports of entries about servers, aggregated at a controller
 //! - [`zone_orders`]: evacuated zones, as the controllers state them to one entry
 //! - [`rate_reports`]: rates that servers state, and the demand for them, aggregated at a controller
+//! - [`team_usage`]: use of the teams' quotas, summed up at a controller
 
 pub mod crash_reports;
 pub mod directory;
@@ -22,6 +23,7 @@
 pub mod rate_reports;
 pub mod registry;
 pub mod saved_servers;
+pub mod team_usage;
 pub mod zone_orders;
 
 pub use crash_reports::{CrashReports, SavedCrashes};
@@ -33,4 +35,5 @@
 pub use rate_reports::RateReports;
 pub use registry::{Registry, RegistryParams};
 pub use saved_servers::SavedServers;
+pub use team_usage::TeamUsages;
 pub use zone_orders::OrdersView;
--- a/crates/hornbeam_entry/src/feed_event.rs
+++ b/crates/hornbeam_entry/src/feed_event.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use hornbeam_discovery::FeedCounts;
-use hornbeam_model::{CrashReport, RateReport, RequestRate, Routing, ZoneOrders};
+use hornbeam_model::{
+    CrashReport, FleetUsage, InstanceId, RateReport, RequestRate, Routing, ZoneOrders,
+};
 use hornbeam_protocol::discovery::HealthReport;
 use hornbeam_route::{ControllerContact, Peer, ServerChange, ServerHealthReport};
 
@@ -30,6 +32,13 @@
     CrashReports(Vec<CrashReport>),
     /// Rates that servers state, summarized by a controller.
     RateReports(Vec<RateReport>),
+    /// Use of the teams' quotas, reported by a controller.
+    TeamUsage {
+        /// The controller.
+        controller: InstanceId,
+        /// Its report.
+        usage: FleetUsage,
+    },
     /// All other entries of the same availability zone, and some of each other one.
     Peers(Vec<Peer>),
 }
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -5,6 +5,8 @@
 //! themselves.
 
 mod pause;
+mod reload;
+mod team_usage;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -12,7 +14,9 @@
 use std::time::Duration;
 
 use hornbeam_discovery::{CrashReports, Directory, FeedCounts, OrdersView, ServerUpdate};
-use hornbeam_model::{CrashReport, InstanceId, Mono, RateReport, Routing, ServerId, TableVersion};
+use hornbeam_model::{
+    CrashReport, InstanceId, Mono, RateReport, Routing, ServerId, TableVersion, TeamUsage,
+};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
 use hornbeam_node::structured::StructuredLog;
@@ -20,7 +24,7 @@
 use hornbeam_protocol::discovery::{EntryInfo, FeedDown, FeedUp, FleetStatus, HealthReport};
 use hornbeam_protocol::features::Features;
 use hornbeam_route::{ControllerContact, Peer, ServerHealthReport};
-use hornbeam_settings::{FleetSettings, SettingsError};
+use hornbeam_settings::FleetSettings;
 use indexmap::IndexMap;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -100,6 +104,8 @@
     /// What this entry has reported of requests in flight at servers that ended, for controllers that
     /// have been restarted.
     crash_reports: CrashReports,
+    /// Use of the teams' quotas at this entry, for controllers whose feed is opened.
+    team_usage: team_usage::LatestUsage,
     /// Counts that were published last.
     feed_counts: FeedCounts,
     /// Latest table version that a controller has stated.
@@ -114,11 +120,12 @@
 }
 
 /// Follows the controllers until the traffic thread has ended. Each message of `reload` causes the
-/// settings file to be read, and each of `reports` is sent to all connected controllers.
+/// settings file to be read, and each of `reports` and `usage` is sent to all connected controllers.
 pub async fn run(
     params: FeedParams,
     mut reload: mpsc::UnboundedReceiver<()>,
     mut reports: mpsc::UnboundedReceiver<EntryReport>,
+    mut usage: mpsc::UnboundedReceiver<Vec<TeamUsage>>,
 ) {
     let (events, mut rx) = mpsc::unbounded_channel();
     let mut feeds = ControllerFeeds {
@@ -130,6 +137,7 @@
         feeds: IndexMap::new(),
         table: Arc::new(Routing::default()),
         crash_reports: CrashReports::default(),
+        team_usage: team_usage::LatestUsage::default(),
         feed_counts: FeedCounts::default(),
         announced: TableVersion(0),
         table_requested_at: None,
@@ -149,6 +157,7 @@
                 feeds.apply_settings(settings);
             }
             Some(report) = reports.recv() => feeds.send_report(report),
+            Some(teams) = usage.recv() => feeds.send_team_usage(teams),
             _ = tick.tick() => feeds.tick(),
         }
         if feeds.params.tx.is_closed() {
@@ -322,6 +331,7 @@
                 if let Some(feed) = self.feeds.get_mut(from) {
                     feed.features = features;
                 }
+                self.send_team_usage_baseline(from);
             }
             FeedDown::ZoneOrders { orders, is_current } => {
                 self.on_zone_orders(now, orders, is_current);
@@ -329,6 +339,10 @@
             FeedDown::CrashReports(reports) => {
                 self.publish(FeedEvent::CrashReports(reports));
             }
+            FeedDown::TeamUsage(usage) => {
+                let controller = from.clone();
+                self.publish(FeedEvent::TeamUsage { controller, usage });
+            }
             FeedDown::RateReports(reports) => self.publish(FeedEvent::RateReports(reports)),
             FeedDown::Entries(entries) => self.on_entries(from, entries),
             FeedDown::HealthReports(reports) => {
@@ -443,20 +457,4 @@
             self.apply_settings(settings);
         }
     }
-
-    /// Applies changed settings; only the seeds can change while the program runs.
-    fn apply_settings(&mut self, settings: Result<FleetSettings, SettingsError>) {
-        match settings {
-            Ok(settings) => {
-                self.params.settings.seeds = settings.seeds;
-                let seeds = &self.params.settings.seeds;
-                self.log("reload", false, &json!({"belief": "settings_reloaded", "seeds": seeds}));
-                self.follow_seeds();
-            }
-            Err(e) => {
-                let fields = json!({"belief": "settings_kept", "reason": e.to_string()});
-                self.log("reload_failed", true, &fields);
-            }
-        }
-    }
 }
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -277,6 +277,9 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "this entry does not know which keys are in force: retry at another entry",
         ),
+        RefusalKind::OverQuota => {
+            (StatusCode::TOO_MANY_REQUESTS, "the team has used up its quota: retry later")
+        }
         RefusalKind::NoServer => {
             (StatusCode::SERVICE_UNAVAILABLE, "too few backend servers are available")
         }
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod run;
 pub mod server_statements;
 mod team_fields;
+mod team_usage;
 mod zone_orders;
 mod zone_traffic;
 
--- a/crates/hornbeam_entry/tests/zone_orders.rs
+++ b/crates/hornbeam_entry/tests/zone_orders.rs
@@ -102,9 +102,10 @@
         let (tx, mut events) = mpsc::unbounded_channel();
         let (_reload, reload) = mpsc::unbounded_channel();
         let (_reports, reports) = mpsc::unbounded_channel();
+        let (_usage, usage) = mpsc::unbounded_channel();
         let log = StructuredLog::start("e1", settings.log);
         let params = FeedParams { settings, file, clock: Clock::start(), log, tx };
-        tokio::task::spawn_local(run(params, reload, reports));
+        tokio::task::spawn_local(run(params, reload, reports, usage));
         outdated.accept().await;
         outdated.send(FeedDown::Features(Features::OWN)).await;
         outdated.send(servers()).await;
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use hornbeam_model::{
-    CrashReport, Incarnation, InstanceId, RateReport, RequestRate, Routing, RoutingDelta, ServerId,
-    ServiceId, TableVersion, TrafficPolicy, Zone, ZoneOrders,
+    CrashReport, FleetUsage, Incarnation, InstanceId, RateReport, RequestRate, Routing,
+    RoutingDelta, ServerId, ServiceId, TableVersion, TrafficPolicy, UsageReport, Zone, ZoneOrders,
 };
 use serde::{Deserialize, Serialize};
 
@@ -165,6 +165,9 @@
         /// True if the controller has recently heard from a majority that it knows all orders.
         is_current: bool,
     },
+    /// Use of the teams' quotas, for entries with [`Features::TEAM_USAGE`]; sent at each
+    /// [`FEED_HEARTBEAT_INTERVAL_MS`] while teams have quotas, and sooner if one is nearly used up.
+    TeamUsage(FleetUsage),
 }
 
 /// Messages of a feed from an entry to a controller.
@@ -190,6 +193,9 @@
     RateReports(Vec<RateReport>),
     /// Requests that were in flight at servers that ended; adds to the previous reports.
     CrashReports(Vec<CrashReport>),
+    /// Use of the teams' quotas, for controllers with [`Features::TEAM_USAGE`]. Replaces the previous
+    /// report on each of these teams.
+    TeamUsage(UsageReport),
 }
 
 /// Longest time between two messages of a feed in either direction, in milliseconds.
--- a/crates/hornbeam_protocol/src/features.rs
+++ b/crates/hornbeam_protocol/src/features.rs
@@ -21,7 +21,8 @@
     /// [`FeedDown::FleetDemand`](crate::discovery::FeedDown::FleetDemand).
     pub const FLEET_DEMAND: Self = Self(1 << 4);
     /// All messages that this build reads.
-    pub const OWN: Self = Self(Self::POLICY.0 | Self::ZONE_ORDERS.0 | Self::FLEET_DEMAND.0);
+    pub const OWN: Self =
+        Self(Self::POLICY.0 | Self::TEAM_USAGE.0 | Self::ZONE_ORDERS.0 | Self::FLEET_DEMAND.0);
 
     /// Returns true if this set includes all of `other`.
     pub fn includes(self, other: Self) -> bool {
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -4,7 +4,7 @@
 
 use hornbeam_model::{
     AttemptId, Fingerprint, InstanceId, OrderIndex, RequestRate, RouteId, ServerId, ServiceId,
-    TableVersion, Zone,
+    TableVersion, TeamId, Zone,
 };
 use serde::{Serialize, Serializer};
 use smol_str::SmolStr;
@@ -253,6 +253,9 @@
     LoadIgnored { request: SmolStr, server: ServerId },
     /// A server became usable, changed or became unusable.
     ServerChanged { server: ServerId, service: ServiceId, usable: bool, why: &'static str },
+    /// A team exceeds its quota, from now on if it was within it for a second; `alone` is true if this
+    /// entry hears no controller and uses an equal part of the quota.
+    TeamOverQuota { team: TeamId, asked: RequestRate, retry_after_ms: u64, alone: bool },
     /// A routing table is in force.
     TableInForce { table: TableVersion, routes: usize },
 }
@@ -279,6 +282,7 @@
                 | Self::PauseIgnored { .. }
                 | Self::RateIgnored { .. }
                 | Self::LoadIgnored { .. }
+                | Self::TeamOverQuota { .. }
                 | Self::ServerEnded { .. }
                 | Self::Quarantined { .. }
                 | Self::CopiesHeld { .. }
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -98,6 +98,10 @@
         if let Some(team) = &arrival.team {
             arrival.fingerprint = arrival.fingerprint.of_team(team);
         }
+        if let Some(wait) = self.over_quota(now, arrival.team.as_ref(), out) {
+            let kind = RefusalKind::OverQuota;
+            return self.refuse_on_arrival(now, arrival, Some(&route), kind, Some(wait), out);
+        }
         let services = self.services_for(&route);
         let regions = self.region_rule(&route.name, arrival.team.as_ref());
         // A group names its route but not its team, so a team's regions hold only for what is sent here.
@@ -274,6 +278,7 @@
         wait: Option<Duration>,
         out: &mut Vec<Output>,
     ) {
+        self.return_to_quota(kind, arrival.team.as_ref());
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
         out.push(Output::Log(Decision::Refused {
             request: arrival.id,
@@ -303,8 +308,10 @@
         if !kind.has_not_run() || matches!(kind, RefusalKind::NoRoute | RefusalKind::UnknownKey) {
             return None;
         }
-        // An isolated entry closes the connection, and other entries serve the caller at once.
-        let wait = if self.isolated { None } else { Some(wait.unwrap_or(DEFAULT_RETRY_AFTER)) };
+        // An isolated entry closes the connection, and other entries serve the caller at once, unless its
+        // team has used up its quota.
+        let elsewhere = self.isolated && kind != RefusalKind::OverQuota;
+        let wait = if elsewhere { None } else { Some(wait.unwrap_or(DEFAULT_RETRY_AFTER)) };
         let wait = wait.unwrap_or_default().max(MIN_RETRY_AFTER);
         let spread = self.rng.random_range(0.0..RETRY_AFTER_JITTER_PERCENT);
         Some(wait.mul_f64(1.0 + spread / 100.0))
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -16,6 +16,7 @@
 //! - [`spilling`]: requests that leave the zone
 //! - [`startup`]: requests that arrive before the first routing table
 //! - [`revocation`]: requests whose key is revoked while they run
+//! - [`quotas`]: quotas of teams
 //! - [`teams`]: teams of callers and their keys
 //! - [`zone_rules`]: evacuated zones and allowed regions; decides whether a server may be used
 //! - [`servers`]: changes of servers, routing tables and the number of entries
@@ -33,6 +34,7 @@
 mod messages;
 mod notices;
 mod placement;
+mod quotas;
 mod rates;
 mod relaying;
 mod revocation;
@@ -73,6 +75,7 @@
 use crate::fleet_size::FleetSize;
 use crate::notice::LeavingServers;
 use crate::peers::Peers;
+use crate::quota::Quotas;
 use crate::rate_limit::RateLimits;
 use crate::request::{RefusalKind, RunningRequest};
 use crate::server::Server;
@@ -131,6 +134,7 @@
     index: RouteIndex,
     team_keys: teams::TeamKeys,
     contact: TableContact,
+    quotas: Quotas,
     splitters: HashMap<RouteId, Splitter>,
     latencies: HashMap<RouteId, LatencyWindow>,
     /// Positions are stable; a service that is no longer in the table keeps its position.
@@ -193,6 +197,7 @@
             index: RouteIndex::default(),
             team_keys: teams::TeamKeys::default(),
             contact: TableContact::default(),
+            quotas: Quotas::new(params.quota),
             splitters: HashMap::new(),
             latencies: HashMap::new(),
             services: IndexMap::new(),
@@ -232,6 +237,7 @@
 
     /// Handles one input and appends the resulting outputs.
     pub fn step(&mut self, now: Mono, input: Input, out: &mut Vec<Output>) {
+        self.quotas.observe(now);
         match input {
             Input::Request {
                 key,
@@ -290,6 +296,7 @@
             }
             Input::PeerHealthReports(reports) => self.on_peer_health_reports(now, &reports),
             Input::RateReports(reports) => self.on_rate_reports(now, reports, out),
+            Input::TeamUsage { controller, usage } => self.on_team_usage(now, controller, usage),
             Input::CrashReports(reports) => self.on_crash_reports(now, reports, out),
             Input::ServerChecked { server, incarnation, has_ended } => {
                 self.on_server_checked(now, (&server, incarnation), has_ended, out)
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `demand`: request rate of this entry and its part of that of all entries
 //! - [`fleet_size`]: number of entries that share a limit
 //! - `rate_meter`: mean rate of requests
+//! - [`quota`]: quotas of teams over all entries together
 //! - [`rate_limit`]: this entry's part of the rates that servers state
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
@@ -42,6 +43,7 @@
 pub mod merge;
 pub mod notice;
 pub mod peers;
+pub mod quota;
 pub mod rate_limit;
 mod rate_meter;
 mod region_rule;
@@ -68,6 +70,7 @@
 pub use merge::merge_records;
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
 pub use peers::{Peer, Peers, ProbePath};
+pub use quota::{OverQuota, QuotaBounds, Quotas};
 pub use request::{Refusal, RefusalKind};
 pub use spill::SpillParams;
 pub use stated_load::{LoadNotice, StatedLoad};
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -31,6 +31,8 @@
     UnknownKey,
     /// It is not known here which keys are in force; the request has not run.
     Unverified,
+    /// The team's quota is used up; the request has not run.
+    OverQuota,
     /// Too few servers are usable; the request has not run.
     NoServer,
     /// The expected wait is too long or the entry is at its limit; the request has not run.
@@ -54,6 +56,7 @@
                 | Self::NoRoute
                 | Self::UnknownKey
                 | Self::Unverified
+                | Self::OverQuota
                 | Self::NoServer
                 | Self::Overloaded
                 | Self::Quarantined
--- a/crates/hornbeam_settings/src/lib.rs
+++ b/crates/hornbeam_settings/src/lib.rs
@@ -14,8 +14,8 @@
 
 pub use error::SettingsError;
 pub use fleet::{
-    FleetSettings, LogRates, RetryBudgetSettings, RevocationSettings, WarmUpSettings,
-    ZoneSpillSettings,
+    FleetSettings, LogRates, QuotaSettings, RetryBudgetSettings, RevocationSettings,
+    WarmUpSettings, ZoneSpillSettings,
 };
 pub use secret::Secret;
 pub use settings::{Peer, Role, Settings};
