The watch of a quiet zone tries another service each time

Cause: a search starts with the same shard, so each due attempt went to the same server; a zone counts as unreachable only when four servers are silent. An entry without hedges did not notice that it was cut off from the other zones. Test: quiet_entry_notices_lost_zones now runs without pauses, thus without hedges; it failed before.

--- a/crates/hornbeam_route/src/engine/spilling.rs
+++ b/crates/hornbeam_route/src/engine/spilling.rs
@@ -194,7 +194,7 @@
         let away = self.away_zones(service, &home);
         self.step_shares(now, spill, service, (&home, &away));
         let is_repeat = !exclude.is_empty();
-        if !is_repeat && let Some(zone) = self.zone_to_try(now, spill, &away) {
+        if !is_repeat && let Some(zone) = self.zone_to_try(now, spill, service, &away) {
             let filters = vec![only([zone]), ZoneFilter::Only(home)];
             return Plan { filters, any_if_unavailable: true };
         }
@@ -234,7 +234,7 @@
 
     /// Returns the zones whose servers come first: this one, or the nearest ones with usable copies if
     /// it has none.
-    fn home_zones(&self, now: Mono, spill: &ZoneSpill, service: usize) -> Vec<SmolStr> {
+    pub(super) fn home_zones(&self, now: Mono, spill: &ZoneSpill, service: usize) -> Vec<SmolStr> {
         let servers = &self.services[service].servers;
         if let Some(own) = servers.iter().find(|i| self.servers[**i].same_zone) {
             return vec![self.servers[*own].zone.clone()];
@@ -341,10 +341,16 @@
 
     /// Returns a zone whose state is not known, if an attempt there is due: a probe of an unreachable
     /// zone, or one that keeps a zone measured.
-    fn zone_to_try(&self, now: Mono, spill: &mut ZoneSpill, away: &[SmolStr]) -> Option<SmolStr> {
+    fn zone_to_try(
+        &self,
+        now: Mono,
+        spill: &mut ZoneSpill,
+        service: usize,
+        away: &[SmolStr],
+    ) -> Option<SmolStr> {
         let is_due = |zone: &&SmolStr| match self.zones.next_probe(zone) {
             Some(at) => now >= at,
-            None => spill.watch.start_if_due(now, zone),
+            None => spill.watch.start_if_due(now, zone, service),
         };
         away.iter().find(is_due).cloned()
     }
--- a/crates/hornbeam_route/tests/zone_spill.rs
+++ b/crates/hornbeam_route/tests/zone_spill.rs
@@ -179,8 +179,12 @@
 #[test]
 fn quiet_entry_notices_lost_zones() {
     let mut world = start(7, true);
+    for server in &mut world.servers {
+        server.pauses = None;
+    }
+    run(&mut world, [0.3; 3], 3 * SECOND);
     world.cut_servers(0, LinkFault::Silent, |s| !s.as_str().ends_with("-0"));
-    run(&mut world, USUAL, 3 * SECOND);
+    run(&mut world, [0.3; 3], 3 * SECOND);
     assert!(world.engines[0].other_zones_lost(world.now));
     world.restore_links(0);
     run(&mut world, USUAL, SECOND);
