An entry that gathers for its zone uses the copies at home as far as the zone may

Change: half of a server's connections is divided by the entries of its zone that send to it: the owner, the four that may gather its group, or all. At most two attempts a slot.

--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -66,7 +66,7 @@
     /// Returns true if one attempt of every entry makes a queue at a server that takes more than
     /// [`MAX_QUEUE_PERCENT`] of the objective. Entries that send independently then find queues that
     /// none of them can see.
-    fn is_crowded(&self, route: &Route, services: &[usize]) -> bool {
+    pub(super) fn is_crowded(&self, route: &Route, services: &[usize]) -> bool {
         let work = self.latencies.get(&route.name).and_then(LatencyWindow::low);
         let servers = services.iter().flat_map(|s| &self.services[*s].servers);
         let slots = servers.map(|s| self.servers[*s].slots).min();
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -55,6 +55,7 @@
         for service in &services {
             self.services[*service].record_request(now);
         }
+        self.record_gathered(now, &group.route, &services);
         let is_relay = group.demand_ppm > 0;
         self.demand.record(now, f64::from(group.demand_ppm) / 1e6);
         let key = group.key;
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -12,6 +12,7 @@
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
 //! - [`relaying`]: shards and requests that only other entries can reach
+//! - [`zone_shares`]: attempts in flight at servers of this zone and of others
 //! - [`zone_groups`]: shard groups that an entry of another zone gathers
 //! - [`gathering`]: shard groups gathered for other entries
 //! - [`spilling`]: requests that leave the zone
@@ -35,6 +36,7 @@
 mod spilling;
 mod startup;
 mod zone_groups;
+mod zone_shares;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -18,7 +18,7 @@
 /// In-flight attempts of all entries together per slot of a server, enough to keep a slot busy
 /// while a response is in transit. Further attempts would queue at the server, where more urgent
 /// ones cannot overtake them and a caller's disconnect goes unnoticed.
-const ATTEMPTS_PER_SLOT: u32 = 2;
+pub(super) const ATTEMPTS_PER_SLOT: u32 = 2;
 
 impl Engine {
     pub(super) fn on_servers(
@@ -60,7 +60,7 @@
             None => self.new_server(Server::new(server.clone(), address, position, share)),
         };
         let same_zone = zone == self.params.zone;
-        let share = self.share_by_zone(position, share, same_zone);
+        let share = self.share_by_zone(now, position, (share, slots), same_zone);
         let s = &mut self.servers[idx];
         s.incarnation = incarnation;
         s.same_zone = same_zone;
@@ -193,7 +193,7 @@
         for idx in 0..self.servers.len() {
             let Server { service, slots, same_zone, .. } = self.servers[idx];
             let share = self.share_of(service, slots, part);
-            let share = self.share_by_zone(service, share, same_zone);
+            let share = self.share_by_zone(now, service, (share, slots), same_zone);
             self.servers[idx].set_share(share);
         }
     }
--- a/crates/hornbeam_route/src/engine/spilling.rs
+++ b/crates/hornbeam_route/src/engine/spilling.rs
@@ -17,10 +17,6 @@
 use crate::spill::share::{AwayLoad, UNSAFE_USE};
 use crate::spill::{SpillParams, ZoneSpill};
 
-/// Most attempts in flight at a server at home beyond the share of it that all entries have. With a
-/// single one, two requests that arrive together need a server of another zone although the one at
-/// home is idle.
-const MAX_HOME_SHARE: u32 = 4;
 /// Part of the time until the response is due that a request may take at home with its wait for
 /// capacity.
 const UNSAFE_WAIT: f64 = 0.5;
@@ -116,21 +112,6 @@
         spill.record_response(now, at, (&in_flight.route, low), (latency, in_flight.allowed));
     }
 
-    /// Returns the share of a server that is `share` without regard to zones. Few attempts come from
-    /// other zones, so half of the server's connections is for the entries of its zone.
-    pub(super) fn share_by_zone(&self, service: usize, share: u32, same_zone: bool) -> u32 {
-        if self.spill.is_none() {
-            return share;
-        }
-        let half = self.usable_connections(service) / 2;
-        if !same_zone {
-            return share.min(half / self.entries.max(1)).max(1);
-        }
-        let entries = self.peers.zone_entries() as u32;
-        let at_home = (half / entries).min(MAX_HOME_SHARE);
-        share.max(at_home)
-    }
-
     /// Returns true if the limit on the attempts of a service does not allow another one. Attempts that
     /// have left the zone do not keep others from the servers at home.
     pub(super) fn is_at_limit(&mut self, service: usize) -> bool {
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -20,7 +20,7 @@
 
 /// Highest-ranked entries that the work of one group is spread over, as some may be busy or
 /// unreachable.
-const CANDIDATES_PER_GROUP: usize = 4;
+pub(crate) const CANDIDATES_PER_GROUP: usize = 4;
 /// Interval between probes of an entry that gets no groups.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Probes at most in one such interval.
--- a/crates/hornbeam_route/src/spill/mod.rs
+++ b/crates/hornbeam_route/src/spill/mod.rs
@@ -60,6 +60,9 @@
     pub watch: ZoneWatch,
     /// Measurements and shares by the position of the service.
     pub services: IndexMap<usize, Outflow>,
+    /// Services that this entry gathers for its zone: how many entries send to them, and until when
+    /// that is known.
+    pub gathered: IndexMap<usize, (u32, Mono)>,
     /// When the queue of a service is looked at again, by the position of the service.
     pub rechecks: IndexMap<usize, Mono>,
     /// Decisions that have not been logged yet.
