--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -73,7 +73,7 @@
     /// Returns true if one attempt of every entry makes a queue at a server that takes more than
     /// [`MAX_QUEUE_PERCENT`] of the objective. Entries that send independently then find queues that
     /// none of them can see.
-    fn is_crowded(&self, route: &Route, services: &[usize]) -> bool {
+    pub(super) fn is_crowded(&self, route: &Route, services: &[usize]) -> bool {
         let work = self.latencies.get(&route.name).and_then(LatencyWindow::low);
         let servers = services.iter().flat_map(|s| &self.services[*s].servers);
         let slots = servers.map(|s| self.servers[*s].slots).min();
@@ -90,9 +90,15 @@
         let is_large = shards > self.params.delegate_above;
         let most = if is_large { shards } else { self.peers.zone_entries() };
         let groups = shards.div_ceil(group_size(shards)).min(most);
+        let handed = self.delegate_by_zone(now, key, out);
         let mut own = Vec::new();
         for number in 0..groups {
-            let group = (number * shards / groups..(number + 1) * shards / groups).collect();
+            let mut group: Vec<usize> =
+                (number * shards / groups..(number + 1) * shards / groups).collect();
+            group.retain(|shard| !handed.contains(shard));
+            if group.is_empty() {
+                continue;
+            }
             let gatherer = if is_large {
                 // Choosing a peer does not mark it as suspected, so there is one for every group.
                 self.peers.choose(number, &mut self.rng).map_or(Gatherer::This, Gatherer::Peer)
@@ -100,7 +106,7 @@
                 self.peers.owner(number, groups)
             };
             match gatherer {
-                Gatherer::This => own.extend::<Vec<usize>>(group),
+                Gatherer::This => own.extend(group),
                 Gatherer::Peer(peer) => self.delegate_group(now, key, &peer, &group, out),
             }
         }
--- a/crates/hornbeam_route/src/engine/spilling.rs
+++ b/crates/hornbeam_route/src/engine/spilling.rs
@@ -18,10 +18,6 @@
 use crate::spill::share::{AwayLoad, UNSAFE_USE};
 use crate::spill::{SpillParams, ZoneSpill};
 
-/// Most attempts in flight at a server at home beyond the share of it that all entries have. With a
-/// single one, two requests that arrive together need a server of another zone although the one at
-/// home is idle.
-const MAX_HOME_SHARE: u32 = 4;
 /// Part of the time until the response is due that a request may take at home with its wait for
 /// capacity.
 const UNSAFE_WAIT: f64 = 0.5;
@@ -117,21 +113,6 @@
         spill.record_response(now, at, (&in_flight.route, low), (latency, in_flight.allowed));
     }
 
-    /// Returns the share of a server that is `share` without regard to zones. Few attempts come from
-    /// other zones, so half of the server's connections is for the entries of its zone.
-    pub(super) fn share_by_zone(&self, service: usize, share: u32, same_zone: bool) -> u32 {
-        if self.spill.is_none() {
-            return share;
-        }
-        let half = self.usable_connections(service) / 2;
-        if !same_zone {
-            return share.min(half / self.entries.max(1)).max(1);
-        }
-        let entries = self.peers.zone_entries() as u32;
-        let at_home = (half / entries).min(MAX_HOME_SHARE);
-        share.max(at_home)
-    }
-
     /// Returns true if the limit on the attempts of a service does not allow another one. Attempts that
     /// have left the zone do not keep others from the servers at home.
     pub(super) fn is_at_limit(&mut self, service: usize) -> bool {
@@ -196,7 +177,7 @@
         let away = self.away_zones(service, &home);
         self.step_shares(now, spill, service, (&home, &away));
         let is_repeat = !exclude.is_empty();
-        if !is_repeat && let Some(zone) = self.zone_to_try(now, spill, &away) {
+        if !is_repeat && let Some(zone) = self.zone_to_try(now, spill, service, &away) {
             let filters = vec![only([zone]), ZoneFilter::Only(home)];
             return Plan { filters, any_if_unavailable: true };
         }
@@ -236,7 +217,7 @@
 
     /// Returns the zones whose servers come first: this one, or the nearest ones with usable copies if
     /// it has none.
-    fn home_zones(&self, now: Mono, spill: &ZoneSpill, service: usize) -> Vec<SmolStr> {
+    pub(super) fn home_zones(&self, now: Mono, spill: &ZoneSpill, service: usize) -> Vec<SmolStr> {
         let servers = &self.services[service].servers;
         let in_zone = |i: &&usize| self.servers[**i].same_zone && !self.servers[**i].evacuated;
         if let Some(own) = servers.iter().find(in_zone) {
@@ -345,10 +326,16 @@
 
     /// Returns a zone whose state is not known, if an attempt there is due: a probe of an unreachable
     /// zone, or one that keeps a zone measured.
-    fn zone_to_try(&self, now: Mono, spill: &mut ZoneSpill, away: &[SmolStr]) -> Option<SmolStr> {
+    fn zone_to_try(
+        &self,
+        now: Mono,
+        spill: &mut ZoneSpill,
+        service: usize,
+        away: &[SmolStr],
+    ) -> Option<SmolStr> {
         let is_due = |zone: &&SmolStr| match self.zones.next_probe(zone) {
             Some(at) => now >= at,
-            None => spill.watch.start_if_due(now, zone),
+            None => spill.watch.start_if_due(now, zone, service),
         };
         away.iter().find(is_due).cloned()
     }
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -20,7 +20,7 @@
 
 /// Highest-ranked entries that the work of one group is spread over, as some may be busy or
 /// unreachable.
-const CANDIDATES_PER_GROUP: usize = 4;
+pub(crate) const CANDIDATES_PER_GROUP: usize = 4;
 /// Interval between probes of an entry that gets no groups.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Probes at most in one such interval.
@@ -177,6 +177,18 @@
         Some(self.count_group(least))
     }
 
+    /// Chooses the entry of another zone with the fewest groups of this entry, and counts a group as
+    /// delegated to it.
+    pub fn choose_in_zone(&mut self, zone: &str, rng: &mut SmallRng) -> Option<Peer> {
+        let of_zone = (0..self.peers.len()).filter(|i| {
+            let state = &self.peers[*i];
+            state.is_usable() && state.peer.zone.as_str() == zone
+        });
+        let least =
+            of_zone.min_by_key(|i| (self.peers[*i].groups, rng.random_range(0..u32::MAX)))?;
+        Some(self.count_group(least))
+    }
+
     /// Chooses the least loaded of the highest-ranked entries for the group with this number, and
     /// counts the group as delegated to it.
     pub fn choose(&mut self, group: usize, rng: &mut SmallRng) -> Option<Peer> {
