Teams share capacity that is short by work, in turns

Cause: a burst of one team, or of a patient kind of request, filled the queues of a service, and all others were refused with it. The queue knew the priority of the route only. Change: with teams in the table, requests have a rank of team and route priority in one byte, which the route of a group carries to gathering entries. Within a rank the team that was given the least work of a service goes first (start-time fair queueing), the expected wait and the waits reported by other entries are those of the team, a lower rank has one turn in sixteen, patient requests are queued within their time, and a less urgent kind of a team is refused at least as often as a more urgent one. Refusals name the team in log lines and in a metric.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -404,11 +404,14 @@
                 self.observe_request(outcome, *took_ms);
                 outcome
             }
-            Decision::Refused { reason, took_ms, .. } => {
+            Decision::Refused { reason, team, took_ms, .. } => {
                 self.observe_request("refused", *took_ms);
                 // The name of the variant is the value of the metric label.
                 let reason = format!("{reason:?}");
                 self.metrics.refusals.with_label_values(&[reason.as_str()]).inc();
+                if let Some(team) = team {
+                    self.metrics.team_refusals.with_label_values(&[team.as_str()]).inc();
+                }
                 "refused"
             }
             Decision::CallerGone { .. } => "caller_gone",
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -486,6 +486,7 @@
         id: request.request,
         fingerprint: request.fingerprint,
         route: Arc::new(request.route),
+        team: crate::team_fields::team_of(core, &forwarded.head),
         due_in: Duration::from_micros(request.due_us),
         remaining: Duration::from_micros(request.left_us),
         demand_ppm: request.demand_ppm,
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -17,6 +17,8 @@
     pub request_seconds: HistogramVec,
     /// Requests that an entry refused instead of forwarding a response, by reason.
     pub refusals: IntCounterVec,
+    /// Requests of teams that an entry refused, by team.
+    pub team_refusals: IntCounterVec,
     /// Attempts sent to backend servers, by kind.
     pub attempts: IntCounterVec,
     /// Attempts that ended, by outcome.
@@ -62,6 +64,11 @@
         Self {
             request_seconds: register(&registry, HistogramVec::new(opts, &["outcome"])),
             refusals: counters("hornbeam_entry_refusals_total", "Requests refused.", "reason"),
+            team_refusals: counters(
+                "hornbeam_entry_team_refusals_total",
+                "Requests of teams refused.",
+                "team",
+            ),
             attempts: counters("hornbeam_entry_attempts_total", "Attempts sent.", "kind"),
             outcomes: counters("hornbeam_entry_outcomes_total", "Attempts ended.", "outcome"),
             notices: counters(
--- a/crates/hornbeam_entry/src/team_fields.rs
+++ b/crates/hornbeam_entry/src/team_fields.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use hornbeam_model::{KeyDigest, QueryId, Routing};
+use hornbeam_model::{KeyDigest, QueryId, Routing, TeamId};
 use hornbeam_route::TeamField;
 use hyper::header::HeaderMap;
 
@@ -69,6 +69,20 @@
     (credential, set_aside)
 }
 
+/// Returns the team that the head of a gathered group states, if the table has teams.
+pub(crate) fn team_of(core: &Core, head: &[u8]) -> Option<TeamId> {
+    if !core.with_engine(|e| e.table().is_some_and(|t| !t.policy.teams.is_empty())) {
+        return None;
+    }
+    let name = core.dialect.team.as_str().as_bytes();
+    let mut lines = head.split(|b| *b == b'\n');
+    let value = lines.find_map(|line| {
+        let (field, value) = line.split_at_checked(name.len())?;
+        value.strip_prefix(b":").filter(|_| field.eq_ignore_ascii_case(name))
+    })?;
+    std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
+}
+
 impl Core {
     /// Completes the head of a request with the team of its caller.
     pub(crate) fn set_team_field(&self, key: QueryId, field: &TeamField) {
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -4,6 +4,7 @@
 
 use hornbeam_model::{
     AttemptId, Fingerprint, InstanceId, RequestRate, RouteId, ServerId, ServiceId, TableVersion,
+    TeamId,
 };
 use serde::{Serialize, Serializer};
 use smol_str::SmolStr;
@@ -165,6 +166,8 @@
     Refused {
         request: SmolStr,
         route: Option<RouteId>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        team: Option<TeamId>,
         reason: RefusalKind,
         took_ms: u64,
         parts: usize,
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -9,6 +9,7 @@
 
 use super::teams::KeyCheck;
 use super::{Completion, Engine, Output};
+use crate::claim::Claim;
 use crate::decision::Decision;
 use crate::request::{Refusal, RefusalKind, RunningRequest, answer_by};
 
@@ -119,9 +120,14 @@
             let (kind, wait) = (RefusalKind::Quarantined, Some(until.since(now)));
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
-        if let Some((kind, wait)) =
-            self.admission_refusal(now, &route, &own, min_shards.saturating_sub(relayed), delegates)
-        {
+        let claim = self.claim_of(&table, &route, arrival.team.as_ref(), arrival.patience);
+        let min_own = min_shards.saturating_sub(relayed);
+        let refusal = match self.holds_back(now, &services, claim) {
+            true => Some((RefusalKind::Overloaded, None)),
+            false => self.admission_refusal(now, (&route, claim), &own, min_own, delegates),
+        };
+        if let Some((kind, wait)) = refusal {
+            self.record_kind_refused(now, services.first().copied(), claim);
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
         self.state_team(&table, &arrival, out);
@@ -129,7 +135,7 @@
         let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
         let answer_by =
             answer_by(arrival.arrived, route.objective().min(patience), arrival.opened_connection);
-        let running = RunningRequest {
+        let mut running = RunningRequest {
             table: table.version,
             arrived: arrival.arrived,
             deadline: now + patience,
@@ -138,8 +144,10 @@
             fingerprint: arrival.fingerprint,
             team: arrival.team,
             credential: arrival.credential,
+            claim,
             ..RunningRequest::new(arrival.key, arrival.id, route, services)
         };
+        self.plan_wait(now, &mut running);
         let key = running.key;
         self.requests.insert(key, running);
         self.probe_peers(now, out);
@@ -172,7 +180,7 @@
     pub(super) fn admission_refusal(
         &mut self,
         now: Mono,
-        route: &Route,
+        (route, claim): (&Route, Claim),
         services: &[usize],
         min_shards: usize,
         delegates: bool,
@@ -180,7 +188,7 @@
         if self.requests.len() >= self.params.max_in_flight {
             return Some((RefusalKind::Overloaded, None));
         }
-        let prospects = self.prospects(now, route, services, delegates);
+        let prospects = self.prospects(now, (route, claim), services, delegates);
         if prospects.reachable() < min_shards {
             return Some((RefusalKind::NoServer, prospects.time_until(min_shards)));
         }
@@ -196,7 +204,7 @@
     pub(super) fn prospects(
         &self,
         now: Mono,
-        route: &Route,
+        (route, claim): (&Route, Claim),
         services: &[usize],
         delegates: bool,
     ) -> Prospects {
@@ -210,12 +218,12 @@
                 prospects.unavailable_for.push(time);
                 continue;
             }
-            let wait = self.expected_wait(now, *position, route.priority);
-            let mut wait = wait.max(service.reported_wait(now));
+            let wait = self.expected_wait(now, *position, claim);
+            let mut wait = wait.max(service.reported_wait(now, claim));
             if !delegates {
-                wait = wait.max(self.expected_rate_wait(now, *position, route.priority));
+                wait = wait.max(self.expected_rate_wait(now, *position, claim));
             }
-            if wait <= max_wait(route, service.mean_latency()) {
+            if wait <= self.max_wait_of(route, claim, service.mean_latency()) {
                 prospects.in_time += 1;
             } else {
                 prospects.too_long.push(wait);
@@ -225,12 +233,12 @@
     }
 
     /// Returns the expected wait for capacity at the servers of a service.
-    pub(super) fn expected_wait(&self, now: Mono, service: usize, priority: u8) -> Duration {
+    pub(super) fn expected_wait(&self, now: Mono, service: usize, claim: Claim) -> Duration {
         let service = &self.services[service];
         let available =
             service.servers.iter().map(|s| &self.servers[*s]).filter(|s| !s.is_paused(now));
         let places: u32 = available.map(|s| s.limit()).sum();
-        service.expected_wait(priority, places.min(service.limit()))
+        service.expected_wait(claim, places.min(service.limit()))
     }
 
     /// Returns the time until the first server of a service is available, if all are ejected,
@@ -260,6 +268,7 @@
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
         out.push(Output::Log(Decision::Refused {
             request: arrival.id,
+            team: arrival.team,
             route: route.map(|r| r.name.clone()),
             reason: kind,
             took_ms: now.since(arrival.arrived).as_millis() as u64,
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -41,7 +41,7 @@
             self.complete(now, key, out);
             return true;
         }
-        if running.attempts == 0 {
+        if running.attempts == 0 && now >= running.wait_until() {
             self.refuse(now, key, RefusalKind::Overloaded, out);
             return true;
         }
@@ -127,12 +127,23 @@
         self.refuse(now, key, kind, out);
     }
 
-    fn refuse(&mut self, now: Mono, key: QueryId, kind: RefusalKind, out: &mut Vec<Output>) {
+    pub(super) fn refuse(
+        &mut self,
+        now: Mono,
+        key: QueryId,
+        kind: RefusalKind,
+        out: &mut Vec<Output>,
+    ) {
         let Some(running) = self.remove_request(now, key, out) else { return };
         discard_all(&running, out);
+        // A request whose queued shards were dropped as late has no server.
+        if matches!(kind, RefusalKind::NoServer | RefusalKind::Overloaded) {
+            let first = running.shards.first().map(|s| s.service);
+            self.record_kind_refused(now, first, running.claim);
+        }
         let services: Vec<usize> = running.shards.iter().map(|s| s.service).collect();
         let delegates = !running.groups.is_empty();
-        let prospects = self.prospects(now, &running.route, &services, delegates);
+        let prospects = self.prospects(now, (&running.route, running.claim), &services, delegates);
         let wait = self
             .quarantine_of(now, &running)
             .map(|until| until.since(now))
@@ -161,6 +172,7 @@
         let services = running.shards.iter().map(|s| &self.services[s.service]);
         out.push(Output::Log(Decision::Refused {
             request: running.id.clone(),
+            team: running.team.clone(),
             route: Some(running.route.name.clone()),
             reason,
             took_ms: now.since(running.arrived).as_millis() as u64,
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -235,7 +235,8 @@
         for (position, shard) in shards.iter().enumerate() {
             let reported = queue_waits.iter().find(|(p, _)| *p == position);
             let wait = reported.map_or(Duration::ZERO, |(_, wait)| *wait);
-            self.services[running.shards[*shard].service].record_reported_wait(now, wait);
+            let service = &mut self.services[running.shards[*shard].service];
+            service.record_reported_wait(now, running.claim, wait);
         }
         if last {
             self.remove_group(group);
@@ -407,6 +408,7 @@
     };
     let runs = shards.iter().map(|s| running.shards[*s].possible_runs).max().unwrap_or(0);
     let mut route = route.with_target(target);
+    route.priority = running.claim.rank.0;
     route.max_attempts = route.max_attempts.saturating_sub(runs).max(1);
     route
 }
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_model::{Fingerprint, Mono, QueryId, Route, Target};
+use hornbeam_model::{Fingerprint, Mono, QueryId, Route, Target, TeamId};
 use smol_str::SmolStr;
 
 use super::completion::{discard_all, discard_errors};
@@ -31,6 +31,8 @@
     pub route: Arc<Route>,
     /// Recognizes the request when the caller repeats it.
     pub fingerprint: Fingerprint,
+    /// Team of the caller, as the origin entry stated it.
+    pub team: Option<TeamId>,
     /// Time until the shard responses are due.
     pub due_in: Duration,
     /// Time until the deadline of the request.
@@ -58,8 +60,10 @@
         let is_relay = group.demand_ppm > 0;
         self.demand.record(now, f64::from(group.demand_ppm) / 1e6);
         let key = group.key;
-        let running = RunningRequest {
+        let claim = self.claim_of_group(&group.route, group.team.as_ref(), group.remaining);
+        let mut running = RunningRequest {
             arrived: now,
+            claim,
             deadline: now + group.remaining.saturating_sub(DEADLINE_RESERVE),
             answer_by: now + group.due_in,
             fingerprint: group.fingerprint,
@@ -69,6 +73,7 @@
         if is_relay && let Some(refusal) = self.relay_refusal(now, &running) {
             return out.push(Output::RefuseGroup { request: key, refusal });
         }
+        self.plan_wait(now, &mut running);
         self.requests.insert(key, running);
         self.place_all(now, key, out);
         self.log_gathering(now, key, out);
@@ -213,7 +218,7 @@
             .shards
             .iter()
             .enumerate()
-            .map(|(i, s)| (i, self.expected_wait(now, s.service, running.route.priority)));
+            .map(|(i, s)| (i, self.expected_wait(now, s.service, running.claim)));
         waits.filter(|(_, wait)| !wait.is_zero()).collect()
     }
 
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -12,6 +12,7 @@
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
 //! - [`relaying`]: shards and requests that only other entries can reach
+//! - [`fairness`]: shares of teams, and the waits of patient requests
 //! - [`gathering`]: shard groups gathered for other entries
 //! - [`startup`]: requests that arrive before the first routing table
 //! - [`revocation`]: requests whose key is revoked while they run
@@ -24,6 +25,7 @@
 mod crashes;
 mod delegation;
 mod detachment;
+mod fairness;
 mod gathering;
 mod hedging;
 mod messages;
@@ -43,10 +45,10 @@
 
 use hornbeam_model::{
     AttemptId, Fingerprint, Incarnation, Mono, QueryId, RequestRate, RouteId, RouteIndex, Routing,
-    ServerId, ServiceId,
+    ServerId, ServiceId, TeamId,
 };
 use hornbeam_traffic::latency::LatencyWindow;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
@@ -62,6 +64,7 @@
 use crate::crash_history::CrashHistory;
 use crate::decision::AttemptKind;
 use crate::demand::Demand;
+use crate::kind_shares::KindShares;
 use crate::notice::LeavingServers;
 use crate::peers::Peers;
 use crate::rate_limit::RateLimits;
@@ -118,6 +121,9 @@
     index: RouteIndex,
     team_keys: teams::TeamKeys,
     contact: TableContact,
+    /// Names of the teams; positions are stable.
+    team_slots: IndexSet<TeamId>,
+    kind_shares: KindShares,
     splitters: HashMap<RouteId, Splitter>,
     latencies: HashMap<RouteId, LatencyWindow>,
     /// Positions are stable; a service that is no longer in the table keeps its position.
@@ -173,6 +179,8 @@
             index: RouteIndex::default(),
             team_keys: teams::TeamKeys::default(),
             contact: TableContact::default(),
+            team_slots: IndexSet::new(),
+            kind_shares: KindShares::default(),
             splitters: HashMap::new(),
             latencies: HashMap::new(),
             services: IndexMap::new(),
@@ -390,6 +398,9 @@
                 return;
             }
         }
+        if self.end_wait(now, key, out) {
+            return;
+        }
         self.hedge(now, key, out);
         self.arm_timer(key);
     }
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -324,9 +324,15 @@
                 self.services[service].waiters.remove(&first);
                 continue;
             };
+            // Teams have turns, so one that is late is not always the first.
+            let has_teams = self.services[service].fair_share.is_active();
+            if has_teams && self.would_be_late(now, service, &first) {
+                self.abandon_waiter(now, &first, out);
+                continue;
+            }
             match self.choose_server_or_tried(now, service, &tried, first.due) {
                 ServerChoice::Server(server, cost) => {
-                    self.services[service].waiters.remove(&first);
+                    self.services[service].take_waiter(&first);
                     let (key, shard) = (first.request, first.shard);
                     // The budget may have changed since the shard was queued.
                     if self.send_if_allowed(now, (key, shard), (server, cost), out) {
@@ -366,9 +372,12 @@
     fn would_be_late(&self, now: Mono, service: usize, waiter: &Waiter) -> bool {
         let service = &self.services[service];
         let Some(running) = self.requests.get(&waiter.request) else { return false };
-        let too_late = now < running.answer_by && now + service.mean_latency() > running.answer_by;
+        let until = running.wait_until();
+        let too_late = now < until && now + self.usual_latency(running, service) > until;
         let max_wait = running.route.objective() * MAX_STANDING_QUEUE_WAIT_PERCENT / 100;
-        let waited_too_long = service.standing_queue && now.since(running.arrived) > max_wait;
+        // Between teams, a queue of less urgent requests stands while the more urgent ones are in time.
+        let is_standing = service.standing_queue && !service.fair_share.is_active();
+        let waited_too_long = is_standing && now.since(running.arrived) > max_wait;
         (too_late && service.waiters.len() > 1) || waited_too_long
     }
 
@@ -389,6 +398,7 @@
     ) {
         let PlannedAttempt { key, shard, server, kind, cost } = planned;
         let delay = self.hedge_delay(now, key);
+        self.charge_team(key, self.servers[server].service);
         let Some(running) = self.requests.get_mut(&key) else { return };
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
@@ -477,6 +487,12 @@
 }
 
 fn waiter(running: &RunningRequest, shard: usize) -> Waiter {
-    let (priority, due) = (running.route.priority, running.answer_by);
-    Waiter { priority, due, request: running.key, shard }
+    Waiter {
+        rank: running.claim.rank,
+        due: running.queue_due(),
+        request: running.key,
+        shard,
+        team: running.claim.team,
+        is_patient: running.patient_until.is_some(),
+    }
 }
--- a/crates/hornbeam_route/src/engine/rates.rs
+++ b/crates/hornbeam_route/src/engine/rates.rs
@@ -9,6 +9,7 @@
 use hornbeam_model::{Mono, RateReport, ServerId};
 
 use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
+use crate::claim::Claim;
 use crate::decision::Decision;
 use crate::notice::RateNotice;
 
@@ -126,14 +127,14 @@
     /// Returns the expected time until the rates of the servers of a service allow another request
     /// of this entry after those that are queued. Zero if a server that is neither ejected nor
     /// paused states no rate.
-    pub(super) fn expected_rate_wait(&self, now: Mono, service: usize, priority: u8) -> Duration {
+    pub(super) fn expected_rate_wait(&self, now: Mono, service: usize, claim: Claim) -> Duration {
         let service = &self.services[service];
         let servers = service.servers.iter().map(|i| &self.servers[*i]);
         let available: Vec<_> = servers.filter(|s| !s.is_paused(now) && !s.is_ejected()).collect();
         if !available.iter().all(|s| s.rate_limited) {
             return Duration::ZERO;
         }
-        let requests = (service.waiters_ahead(priority) + 1) as f64;
+        let requests = (service.waiters_ahead(claim) + 1) as f64;
         let requests = (requests / available.len().max(1) as f64).max(1.0);
         let limits =
             available.iter().filter_map(|s| self.rate_limits.in_force(&s.id, s.incarnation));
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -307,7 +307,10 @@
         let quarantine = self.quarantined_below(now, running.fingerprint, &services, min_shards);
         let (kind, wait) = match quarantine {
             Some(until) => (RefusalKind::Quarantined, Some(until.since(now))),
-            None => self.admission_refusal(now, &running.route, &services, min_shards, false)?,
+            None => {
+                let claimed = (&*running.route, running.claim);
+                self.admission_refusal(now, claimed, &services, min_shards, false)?
+            }
         };
         Some(Refusal { kind, retry_after: self.retry_after(kind, wait) })
     }
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -7,6 +7,7 @@
 
 use super::{Engine, Output, ServerChange, ServerHealthReport};
 use crate::decision::Decision;
+use crate::fair_share::FairShare;
 use crate::server::Server;
 use crate::service::Service;
 
@@ -165,6 +166,9 @@
         let routes = table.routes.len();
         out.push(Output::Log(Decision::TableInForce { table: table.version, routes }));
         self.contact.confirm(table.version);
+        if table.policy.teams.is_empty() {
+            self.services.values_mut().for_each(|s| s.fair_share = FairShare::default());
+        }
         self.table = Some(table);
         self.update_shares(now);
         self.stop_revoked(now, out);
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -5,11 +5,14 @@
 //!
 //! - `access`: detects that this entry reaches no backend server
 //! - [`budget`]: limit on hedges and retries per service
+//! - [`claim`]: rank, team and patience of a request
 //! - [`contact`]: whether the keys that this entry knows can be relied on
 //! - [`crash_history`]: requests that end the servers that run them
 //! - `demand`: request rate of this entry and its part of that of all entries
 //! - `rate_meter`: mean rate of requests
 //! - [`rate_limit`]: this entry's part of the rates that servers state
+//! - [`fair_share`]: fair queueing between teams, by work
+//! - [`kind_shares`]: refusals of more and less urgent kinds of requests
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
 //! - [`request`]: state of one running request
@@ -24,11 +27,14 @@
 
 mod access;
 pub mod budget;
+pub mod claim;
 pub mod contact;
 pub mod crash_history;
 pub mod decision;
 mod demand;
 pub mod engine;
+pub mod fair_share;
+pub mod kind_shares;
 pub mod merge;
 pub mod notice;
 pub mod peers;
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::claim::Claim;
 use crate::notice::LeavingServer;
 
 /// Reserve for the network round trip between the caller and this entry.
@@ -210,6 +211,12 @@
     pub credential: Option<KeyDigest>,
     /// True once the key was revoked: what runs is completed, and nothing new is sent.
     pub is_revoked: bool,
+    /// What it may claim of capacity that is short.
+    pub claim: Claim,
+    /// Until when a patient request may be queued; `None` for others, which wait until their due time.
+    pub patient_until: Option<Mono>,
+    /// True if a patient request is not expected to be served within its objective.
+    pub yields: bool,
     /// Matched route, from the table version in force on arrival.
     pub route: Arc<Route>,
     /// Table version of the route; the whole request uses this version.
@@ -254,6 +261,9 @@
             team: None,
             credential: None,
             is_revoked: false,
+            claim: Claim::of_route(&route),
+            patient_until: None,
+            yields: false,
             route,
             table: TableVersion(0),
             arrived: Mono::default(),
@@ -336,6 +346,16 @@
         self.shards.iter().any(|s| s.possible_runs > 0)
     }
 
+    /// Returns until when it may be queued for capacity.
+    pub fn wait_until(&self) -> Mono {
+        self.patient_until.unwrap_or(self.answer_by)
+    }
+
+    /// Returns the time by which it is ordered among the queued requests of its rank.
+    pub fn queue_due(&self) -> Mono {
+        if self.yields { self.wait_until() } else { self.answer_by }
+    }
+
     /// Returns the time of the next decision that no event triggers.
     pub fn next_wake(&self) -> Mono {
         let hedges = self.shards.iter().filter_map(|s| s.hedge_at).min();
@@ -343,6 +363,8 @@
         wake = wake.min(self.reclaim_at.unwrap_or(Mono::MAX));
         if !self.overdue {
             wake = wake.min(self.answer_by);
+        } else if let Some(until) = self.patient_until.filter(|_| self.attempts == 0) {
+            wake = wake.min(until);
         }
         wake
     }
--- a/crates/hornbeam_route/src/service.rs
+++ b/crates/hornbeam_route/src/service.rs
@@ -1,12 +1,14 @@
 //! Servers and request queue of one service.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use hornbeam_model::{Mono, QueryId, RequestRate, ServiceId};
 use hornbeam_traffic::Limiter;
 
 use crate::budget::{RetryBudget, RetryBudgetParams};
+use crate::claim::{Claim, Rank, TeamSlot};
+use crate::fair_share::FairShare;
 use crate::rate_meter::RateMeter;
 
 /// Weight of one latency sample in the moving average of the service.
@@ -17,20 +19,29 @@
 const REPORTED_WAIT_TTL: Duration = Duration::from_millis(300);
 /// Time for which no other entry is asked for a service after one reached no server of it.
 const UNSERVABLE_TTL: Duration = Duration::from_millis(500);
+/// Dispatches of more urgent requests in a row after which a queued request of a lower rank has its turn,
+/// so that none is starved: one in sixteen.
+const MAX_PASSED_OVER: u32 = 15;
+/// Teams and ranks after which expired queue waits that were reported for them are removed.
+const MAX_REPORTED_WAITS: usize = 256;
 /// Mean latency assumed before the first measurement.
 const ASSUMED_MEAN_LATENCY: Duration = Duration::from_millis(20);
 
-/// A queued shard of a request. The order is that of the queue: by priority, then by due time.
+/// A queued shard of a request. The order is that of the queue: by rank, then by due time.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Waiter {
-    /// Priority of the route; zero is the most urgent.
-    pub priority: u8,
+    /// Rank of the request; zero is the most urgent.
+    pub rank: Rank,
     /// Due time of the response.
     pub due: Mono,
     /// Request that the shard belongs to.
     pub request: QueryId,
     /// Position of the shard in the request.
     pub shard: usize,
+    /// Team of the request.
+    pub team: TeamSlot,
+    /// True if the request is patient: it is served in turn also in a standing queue.
+    pub is_patient: bool,
 }
 
 /// A service with its servers, its queue and its limits.
@@ -56,6 +67,12 @@
     limiter: Limiter,
     /// Mean of the queue waits that gathering entries reported, and when it expires.
     reported_wait: Option<(Duration, Mono)>,
+    /// The same by team and rank, for requests of teams.
+    team_waits: HashMap<(TeamSlot, Rank), (Duration, Mono)>,
+    /// Work that each team was given.
+    pub fair_share: FairShare,
+    /// Dispatches of more urgent requests since a lower rank had its turn, while one is queued.
+    passed_over: u32,
     mean: Option<Duration>,
     /// Until when its shards are not relayed, since another entry reaches no server of it either.
     unservable_until: Mono,
@@ -75,6 +92,9 @@
             outstanding: 0,
             limiter: Limiter::new(MAX_OUTSTANDING),
             reported_wait: None,
+            team_waits: HashMap::new(),
+            fair_share: FairShare::default(),
+            passed_over: 0,
             mean: None,
             unservable_until: Mono::default(),
         }
@@ -132,15 +152,28 @@
         self.mean = Some(Duration::from_secs_f64(mean.as_secs_f64() + change));
     }
 
-    /// Updates the mean of the queue waits that gathering entries report; zero is an empty queue.
-    pub fn record_reported_wait(&mut self, now: Mono, wait: Duration) {
-        let mean = (self.reported_wait(now) + wait) / 2;
-        self.reported_wait = Some((mean, now + REPORTED_WAIT_TTL));
+    /// Updates the mean of the queue waits that gathering entries report; zero is an empty queue. Those of
+    /// a team's requests say nothing about the others, since each team has its own turn.
+    pub fn record_reported_wait(&mut self, now: Mono, claim: Claim, wait: Duration) {
+        let mean = (self.reported_wait(now, claim) + wait) / 2;
+        let reported = (mean, now + REPORTED_WAIT_TTL);
+        if claim.team == TeamSlot::default() {
+            self.reported_wait = Some(reported);
+            return;
+        }
+        if self.team_waits.len() >= MAX_REPORTED_WAITS {
+            self.team_waits.retain(|_, (_, until)| now < *until);
+        }
+        self.team_waits.insert((claim.team, claim.rank), reported);
     }
 
     /// Returns the mean of the recently reported queue waits, or zero if there are none.
-    pub fn reported_wait(&self, now: Mono) -> Duration {
-        let valid = self.reported_wait.filter(|(_, until)| now < *until);
+    pub fn reported_wait(&self, now: Mono, claim: Claim) -> Duration {
+        let reported = match claim.team == TeamSlot::default() {
+            true => self.reported_wait,
+            false => self.team_waits.get(&(claim.team, claim.rank)).copied(),
+        };
+        let valid = reported.filter(|(_, until)| now < *until);
         valid.map_or(Duration::ZERO, |(wait, _)| wait)
     }
 
@@ -149,6 +182,9 @@
     /// to be late, so dispatching the newest keeps the responses that are sent fast.
     pub fn next_waiter(&self) -> Option<Waiter> {
         let first = *self.waiters.first()?;
+        if self.fair_share.is_active() {
+            return self.next_of_teams(first);
+        }
         if !self.standing_queue {
             return Some(first);
         }
@@ -157,15 +193,41 @@
         self.waiters.range(..=last).next_back().copied()
     }
 
-    /// Returns the number of waiters of this priority or a more urgent one.
-    pub fn waiters_ahead(&self, priority: u8) -> usize {
-        self.waiters.iter().take_while(|w| w.priority <= priority).count()
+    /// Returns the next waiter of the team that was given the least work, of the most urgent rank or of
+    /// the next one if it was passed over too often.
+    fn next_of_teams(&self, first: Waiter) -> Option<Waiter> {
+        let lower = || self.waiters.iter().find(|w| w.rank > first.rank);
+        let is_due = self.passed_over >= MAX_PASSED_OVER;
+        let rank = lower().filter(|_| is_due).map_or(first.rank, |w| w.rank);
+        let of_rank = || self.waiters.iter().filter(move |w| w.rank == rank);
+        let team = of_rank().min_by_key(|w| self.fair_share.start(w.team))?.team;
+        let of_team = || of_rank().filter(move |w| w.team == team);
+        let newest = || of_team().rfind(|w| !w.is_patient);
+        let next = if self.standing_queue { newest() } else { None };
+        next.or_else(|| of_team().next()).copied()
+    }
+
+    /// Removes a waiter that is dispatched from the queue.
+    pub fn take_waiter(&mut self, waiter: &Waiter) {
+        self.waiters.remove(waiter);
+        let passes_over = self.waiters.last().is_some_and(|w| w.rank > waiter.rank);
+        self.passed_over = if passes_over { self.passed_over + 1 } else { 0 };
+    }
+
+    /// Returns the number of waiters that are served before another request with this claim: those of a
+    /// more urgent rank, and of the same one those whose team has its turn before.
+    pub fn waiters_ahead(&self, claim: Claim) -> usize {
+        if !self.fair_share.is_active() {
+            return self.waiters.iter().take_while(|w| w.rank <= claim.rank).count();
+        }
+        let more_urgent = self.waiters.iter().take_while(|w| w.rank < claim.rank).count();
+        let of_rank = self.waiters.iter().filter(|w| w.rank == claim.rank).map(|w| w.team);
+        more_urgent + self.fair_share.ahead_of(claim.team, self.mean_latency(), of_rank)
     }
 
-    /// Returns the expected wait behind the waiters of this priority or a more urgent one, with a
-    /// limit of `max_in_flight` attempts.
-    pub fn expected_wait(&self, priority: u8, max_in_flight: u32) -> Duration {
-        let ahead = self.waiters_ahead(priority);
+    /// Returns the expected wait of a request with this claim, with a limit of `max_in_flight` attempts.
+    pub fn expected_wait(&self, claim: Claim, max_in_flight: u32) -> Duration {
+        let ahead = self.waiters_ahead(claim);
         if ahead == 0 {
             return Duration::ZERO;
         }
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod routes;
 mod sim_server;
 mod sites;
+mod teams;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
@@ -18,7 +19,7 @@
 use hornbeam_discovery::RateReports;
 use hornbeam_model::{
     AttemptId, Fingerprint, Mono, QueryId, RateReport, RequestRate, Route, RoutedService, Routing,
-    ServerId, ServiceId, TableVersion,
+    ServerId, ServiceId, TableVersion, TeamId,
 };
 use hornbeam_route::{
     Attempt, AttemptOutcome, Completion, Decision, Delegation, Engine, GroupEvent, GroupReport,
@@ -128,6 +129,8 @@
     paths: Vec<String>,
     table: Arc<Routing>,
     routes: Vec<Route>,
+    /// Teams of the callers, by route; empty without teams.
+    teams: Vec<TeamId>,
     by_name: BTreeMap<ServerId, usize>,
     /// Servers of each service that accepted a caller's request.
     servers_reached: HashMap<(QueryId, String), HashSet<usize>>,
@@ -207,6 +210,7 @@
             work,
             table: Arc::default(),
             paths: routes.iter().map(|r| format!("{}x", r.prefix)).collect(),
+            teams: Vec::new(),
             by_name: BTreeMap::new(),
             servers_reached: HashMap::new(),
             origin_requests: HashMap::new(),
@@ -620,6 +624,7 @@
             id: format!("r{}", delegation.request).into(),
             fingerprint: self.fingerprint(delegation.request),
             route: Arc::new(delegation.route),
+            team: self.team_of(delegation.request),
             due_in: delegation.due_in,
             remaining: delegation.remaining,
             demand_ppm: delegation.demand_ppm,
@@ -682,7 +687,7 @@
             key,
             id: format!("r{key}").into(),
             fingerprint: self.fingerprint(key),
-            credential: None,
+            credential: self.key_of(route),
             host: "plots.example".into(),
             path: self.paths[route].as_str().into(),
             patience,
