Tests for relays, groups and settings of teams; each status updates the contact

Cause: a started entry heard a majority of the controllers, and told the traffic thread at the next tick only, up to 200 ms later; requests with keys wait for it. Change: each fleet status updates the contact. Tests: a relayed request states the team and no key, groups end 2 s after a key was revoked, majorities of controllers, settings of the window.

--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -386,10 +386,8 @@
             feed.demand = status.demand;
             feed.stated_at = Some(now);
         }
-        if status.table > self.announced {
-            self.announced = status.table;
-            self.publish_contact();
-        }
+        self.announced = self.announced.max(status.table);
+        self.publish_contact();
         let entries = self.feeds.values().map(|f| f.entries).max().unwrap_or(0);
         if entries > 0 {
             self.publish(FeedEvent::EntryCount(entries));
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -16,13 +16,13 @@
 //! - [`peer_connection`]: a connection between two entries that carries messages
 //! - [`feed_connection`]: the connection to one controller
 //! - [`feed_event`]: messages between the control thread and the traffic thread
-//! - `contact`: since when a majority of the controllers has stated its table version
+//! - [`contact`]: since when a majority of the controllers has stated its table version
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - [`metrics`]: Prometheus metrics
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
-mod contact;
+pub mod contact;
 pub mod core;
 pub mod dialect;
 pub mod feed_connection;
--- a/crates/hornbeam_entry/tests/teams.rs
+++ b/crates/hornbeam_entry/tests/teams.rs
@@ -9,10 +9,13 @@
 use std::time::Duration;
 
 use common::{core, read_head, response, run_local};
+use hornbeam_discovery::FeedCounts;
+use hornbeam_entry::contact::majority_at;
 use hornbeam_entry::core::Core;
 use hornbeam_entry::front::{self, Stage};
-use hornbeam_model::{KeyDigest, Routing, TableVersion, Team, TrafficPolicy};
-use hornbeam_route::{ControllerContact, Input};
+use hornbeam_entry::group_exchange;
+use hornbeam_model::{KeyDigest, Mono, Routing, TableVersion, Team, TrafficPolicy};
+use hornbeam_route::{ControllerContact, Input, Peer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -220,6 +223,42 @@
     });
 }
 
+#[test]
+fn relayed_by_another_entry() {
+    run_local(async {
+        let (server, heads) = start_server().await;
+        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let origin = core(closed, true);
+        let other = common::named_core("e1", &[server], true);
+        other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::task::spawn_local(group_exchange::accept(other.clone(), listener));
+        let (name, zone) = ("e1".parse().unwrap(), "prerov".parse().unwrap());
+        origin.step(Input::Peers(vec![Peer { name, address, zone }]));
+        origin.step(Input::Table(table(&origin, 2, &[("orchard", &["acorn"])])));
+        // The other entry has a table in which the team has no key left.
+        other.step(Input::Table(table(&other, 3, &[("orchard", &[])])));
+        let mut stream = connect(&origin).await;
+        assert_eq!(send(&mut stream, "r1", KEY).await, 200);
+        let head = heads.borrow()[0].clone();
+        assert!(!head.contains("acorn") && head.contains("hornbeam-team: orchard\r\n"), "{head}");
+    });
+}
+
+#[test]
+fn majority_of_controllers() {
+    let at =
+        |ms: &[u64]| majority_at(ms.iter().map(|ms| (*ms > 0).then(|| Mono::from_millis(*ms))));
+    assert_eq!(at(&[]), None);
+    assert_eq!(at(&[7]), Some(Mono::from_millis(7)));
+    // Zero stands for a controller that has stated nothing.
+    assert_eq!(at(&[9, 0]), None);
+    assert_eq!(at(&[9, 0, 5]), Some(Mono::from_millis(5)));
+    assert_eq!(at(&[9, 8, 0, 0]), None, "half of them is no majority");
+    assert_eq!(at(&[9, 3, 8, 0]), Some(Mono::from_millis(3)));
+}
+
 #[test]
 fn debug_output_hides_keys() {
     let request = hornbeam_entry::core::ForwardedRequest {
--- a/crates/hornbeam_route/tests/teams.rs
+++ b/crates/hornbeam_route/tests/teams.rs
@@ -8,7 +8,8 @@
 use common::single;
 use hornbeam_model::{KeyDigest, Mono, TableVersion};
 use hornbeam_route::{
-    AttemptOutcome, Completion, ControllerContact, Input, Output, RefusalKind, TeamField,
+    AttemptOutcome, Completion, ControllerContact, Input, Output, Peer, RefusalKind, ServerNotice,
+    TeamField,
 };
 
 const ORCHARD: &[(&str, &[&str])] = &[("orchard", &["acorn"])];
@@ -137,3 +138,39 @@
     let sent = harness.out.iter().position(|o| matches!(o, Output::SendAttempt(_)));
     assert!(sent.is_some_and(|sent| team < sent));
 }
+
+#[test]
+fn group_of_revoked_key() {
+    let mut harness = harness("acorn");
+    let peer = Peer {
+        name: "e1".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "olomouc".parse().unwrap(),
+    };
+    harness.step(T, Input::Peers(vec![peer]));
+    // Both servers refuse connections, so the request is relayed.
+    let mut attempt = harness.request(T, 1);
+    while let Some(id) = attempt {
+        harness.step(
+            T + MS,
+            Input::AttemptFinished {
+                attempt: id,
+                outcome: AttemptOutcome::NotSent,
+                notice: ServerNotice::default(),
+            },
+        );
+        let relays = |o: &Output| matches!(o, Output::Delegate(_));
+        if harness.out.iter().any(relays) {
+            break;
+        }
+        attempt = harness.take_attempt();
+    }
+    let is_delegated = |o: &Output| matches!(o, Output::Delegate(_));
+    assert!(harness.out.iter().any(is_delegated), "relayed");
+    harness.out.clear();
+    harness.receive_teams(T + 2 * MS, 3, &[("orchard", &[])]);
+    let is_cancelled = |o: &Output| matches!(o, Output::CancelGroup(_));
+    assert!(!harness.out.iter().any(is_cancelled), "it may end in time");
+    harness.step(T + 2_002 * MS, Input::Tick);
+    assert!(harness.out.iter().any(is_cancelled));
+}
--- a/crates/hornbeam_settings/tests/fleet_settings.rs
+++ b/crates/hornbeam_settings/tests/fleet_settings.rs
@@ -39,6 +39,20 @@
     assert_eq!(settings.bind_address(advertised).to_string(), "127.0.0.77:7380");
 }
 
+#[test]
+fn revocation_window() {
+    let window = |line: &str| {
+        let settings = read(&format!("{VALID}{line}")).unwrap();
+        settings.revocation.strict_window().map(|w| w.as_millis())
+    };
+    assert_eq!(window(""), None);
+    assert_eq!(window("revocation: {strict: false, window_ms: 700}\n"), None);
+    assert_eq!(window("revocation: {strict: true, window_ms: 700}\n"), Some(700));
+    // A platform that does not state the values leaves them empty.
+    assert_eq!(window("revocation:\n  strict:\n  window_ms:\n"), None);
+    assert_eq!(window("revocation:\n  strict: true\n  window_ms:\n"), Some(5_000));
+}
+
 #[parameterized(
     unknown = { "colour: red\n", "colour" },
     no_folder = { "api: 127.0.0.9:8106\n", "data_dir" },
