--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -383,10 +383,8 @@
             feed.status = status;
             feed.stated_at = Some(now);
         }
-        if table > self.announced {
-            self.announced = table;
-            self.publish_contact();
-        }
+        self.announced = self.announced.max(table);
+        self.publish_contact();
         let entries = self.feeds.values().map(|f| f.status.entries).max().unwrap_or(0);
         if entries > 0 {
             self.publish(FeedEvent::EntryCount(entries));
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`peer_connection`]: a connection between two entries that carries messages
 //! - [`feed_connection`]: the connection to one controller
 //! - [`feed_event`]: messages between the control thread and the traffic thread
-//! - `contact`: since when a majority of the controllers has stated its table version
+//! - [`contact`]: since when a majority of the controllers has stated its table version
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - `zone_orders`: orders about zones, and servers that are not used before they are known
 //! - [`metrics`]: Prometheus metrics
@@ -25,7 +25,7 @@
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
-mod contact;
+pub mod contact;
 pub mod core;
 pub mod dialect;
 pub mod feed_connection;
--- a/crates/hornbeam_route/src/decision.rs
+++ b/crates/hornbeam_route/src/decision.rs
@@ -166,6 +166,8 @@
     Refused {
         request: SmolStr,
         route: Option<RouteId>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        team: Option<TeamId>,
         reason: RefusalKind,
         took_ms: u64,
         parts: usize,
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -9,6 +9,7 @@
 
 use super::teams::KeyCheck;
 use super::{Completion, Engine, Output};
+use crate::claim::Claim;
 use crate::decision::Decision;
 use crate::region_rule::RegionRule;
 use crate::request::{Refusal, RefusalKind, RunningRequest, answer_by};
@@ -127,10 +128,16 @@
             let (kind, wait) = (RefusalKind::Quarantined, Some(until.since(now)));
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
-        let own_shards = min_shards.saturating_sub(relayed);
-        if let Some((kind, wait)) =
-            self.admission_refusal(now, &route, &own, own_shards, delegates, &regions)
-        {
+        let claim = self.claim_of(&table, &route, arrival.team.as_ref(), arrival.patience);
+        let min_own = min_shards.saturating_sub(relayed);
+        let refusal = match self.holds_back(now, &services, claim) {
+            true => Some((RefusalKind::Overloaded, None)),
+            false => {
+                self.admission_refusal(now, (&route, claim), &own, min_own, delegates, &regions)
+            }
+        };
+        if let Some((kind, wait)) = refusal {
+            self.record_kind_refused(now, services.first().copied(), claim);
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
         self.state_team(&table, &arrival, out);
@@ -138,7 +145,7 @@
         let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
         let answer_by =
             answer_by(arrival.arrived, route.objective().min(patience), arrival.opened_connection);
-        let running = RunningRequest {
+        let mut running = RunningRequest {
             table: table.version,
             arrived: arrival.arrived,
             deadline: now + patience,
@@ -148,8 +155,10 @@
             team: arrival.team,
             credential: arrival.credential,
             regions,
+            claim,
             ..RunningRequest::new(arrival.key, arrival.id, route, services)
         };
+        self.plan_wait(now, &mut running);
         let key = running.key;
         self.requests.insert(key, running);
         self.probe_peers(now, out);
@@ -182,7 +191,7 @@
     pub(super) fn admission_refusal(
         &mut self,
         now: Mono,
-        route: &Route,
+        (route, claim): (&Route, Claim),
         services: &[usize],
         min_shards: usize,
         delegates: bool,
@@ -191,7 +200,7 @@
         if self.requests.len() >= self.params.max_in_flight {
             return Some((RefusalKind::Overloaded, None));
         }
-        let prospects = self.prospects(now, route, services, delegates, regions);
+        let prospects = self.prospects(now, (route, claim), services, delegates, regions);
         if prospects.reachable() < min_shards {
             return Some((RefusalKind::NoServer, prospects.time_until(min_shards)));
         }
@@ -207,7 +216,7 @@
     pub(super) fn prospects(
         &self,
         now: Mono,
-        route: &Route,
+        (route, claim): (&Route, Claim),
         services: &[usize],
         delegates: bool,
         regions: &RegionRule,
@@ -223,12 +232,12 @@
                 prospects.unavailable_for.push(time);
                 continue;
             }
-            let wait = self.expected_wait(now, *position, route.priority, regions);
-            let mut wait = wait.max(service.reported_wait(now));
+            let wait = self.expected_wait(now, *position, claim, regions);
+            let mut wait = wait.max(service.reported_wait(now, claim));
             if !delegates {
-                wait = wait.max(self.expected_rate_wait(now, *position, route.priority, regions));
+                wait = wait.max(self.expected_rate_wait(now, *position, claim, regions));
             }
-            if wait <= max_wait(route, service.mean_latency()) {
+            if wait <= self.max_wait_of(route, claim, service.mean_latency()) {
                 prospects.in_time += 1;
             } else {
                 prospects.too_long.push(wait);
@@ -242,13 +251,13 @@
         &self,
         now: Mono,
         service: usize,
-        priority: u8,
+        claim: Claim,
         regions: &RegionRule,
     ) -> Duration {
         let available = self.allowed_servers(service, regions).filter(|s| !s.is_paused(now));
         let service = &self.services[service];
         let places: u32 = available.map(|s| s.limit()).sum();
-        service.expected_wait(priority, places.min(service.limit()))
+        service.expected_wait(claim, places.min(service.limit()))
     }
 
     /// Returns the time until the first server of a service that may be used is available, if all these
@@ -282,6 +291,7 @@
         let refusal = Refusal { kind, retry_after: self.retry_after(kind, wait) };
         out.push(Output::Log(Decision::Refused {
             request: arrival.id,
+            team: arrival.team,
             route: route.map(|r| r.name.clone()),
             reason: kind,
             took_ms: now.since(arrival.arrived).as_millis() as u64,
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! - [`relaying`]: shards and requests that only other entries can reach
 //! - [`zone_shares`]: attempts in flight at servers of this zone and of others
 //! - [`zone_groups`]: shard groups that an entry of another zone gathers
+//! - [`fairness`]: shares of teams, and the waits of patient requests
 //! - [`gathering`]: shard groups gathered for other entries
 //! - [`spilling`]: requests that leave the zone
 //! - [`startup`]: requests that arrive before the first routing table
@@ -31,6 +32,7 @@
 mod crashes;
 mod delegation;
 mod detachment;
+mod fairness;
 mod gathering;
 mod hedging;
 mod messages;
@@ -56,10 +58,10 @@
 
 use hornbeam_model::{
     AttemptId, Fingerprint, Incarnation, Mono, QueryId, RequestRate, RouteId, RouteIndex, Routing,
-    ServerId, ServiceId,
+    ServerId, ServiceId, TeamId,
 };
 use hornbeam_traffic::latency::LatencyWindow;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol_str::SmolStr;
@@ -77,6 +79,7 @@
 use crate::decision::AttemptKind;
 use crate::demand::Demand;
 use crate::fleet_size::FleetSize;
+use crate::kind_shares::KindShares;
 use crate::notice::LeavingServers;
 use crate::peers::Peers;
 use crate::quota::Quotas;
@@ -139,6 +142,9 @@
     team_keys: teams::TeamKeys,
     contact: TableContact,
     quotas: Quotas,
+    /// Names of the teams; positions are stable.
+    team_slots: IndexSet<TeamId>,
+    kind_shares: KindShares,
     splitters: HashMap<RouteId, Splitter>,
     latencies: HashMap<RouteId, LatencyWindow>,
     /// Positions are stable; a service that is no longer in the table keeps its position.
@@ -202,6 +208,8 @@
             team_keys: teams::TeamKeys::default(),
             contact: TableContact::default(),
             quotas: Quotas::new(params.quota),
+            team_slots: IndexSet::new(),
+            kind_shares: KindShares::default(),
             splitters: HashMap::new(),
             latencies: HashMap::new(),
             services: IndexMap::new(),
@@ -430,6 +438,9 @@
                 return;
             }
         }
+        if self.end_wait(now, key, out) {
+            return;
+        }
         self.hedge(now, key, out);
         self.arm_timer(key);
     }
--- a/crates/hornbeam_route/src/engine/rates.rs
+++ b/crates/hornbeam_route/src/engine/rates.rs
@@ -9,6 +9,7 @@
 use hornbeam_model::{Mono, RateReport, ServerId};
 
 use super::{AttemptOutcome, Engine, InFlightAttempt, Output, Timer};
+use crate::claim::Claim;
 use crate::decision::Decision;
 use crate::notice::RateNotice;
 use crate::rate_limit::RateLimit;
@@ -136,7 +137,7 @@
         &self,
         now: Mono,
         service: usize,
-        priority: u8,
+        claim: Claim,
         regions: &RegionRule,
     ) -> Duration {
         let servers = self.allowed_servers(service, regions);
@@ -146,7 +147,7 @@
         if !available.iter().all(|s| s.rate_limited && limit(s).is_some()) {
             return Duration::ZERO;
         }
-        let requests = (service.waiters_ahead(priority) + 1) as f64;
+        let requests = (service.waiters_ahead(claim) + 1) as f64;
         let requests = (requests / available.len().max(1) as f64).max(1.0);
         let size = self.fleet_size;
         let wait = |l: &RateLimit| {
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -317,8 +317,9 @@
         let (kind, wait) = match quarantine {
             Some(until) => (RefusalKind::Quarantined, Some(until.since(now))),
             None => {
-                let (route, regions) = (&running.route, &running.regions);
-                self.admission_refusal(now, route, &services, min_shards, false, regions)?
+                let claimed = (&*running.route, running.claim);
+                let regions = &running.regions;
+                self.admission_refusal(now, claimed, &services, min_shards, false, regions)?
             }
         };
         Some(Refusal { kind, retry_after: self.retry_after(kind, wait) })
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - `access`: detects that this entry reaches no backend server
 //! - [`budget`]: limit on hedges and retries per service
+//! - [`claim`]: rank, team and patience of a request
 //! - [`cold_limit`]: this entry's part of the rate that a cold server bears
 //! - `copy_hold`: second copies of the shards of a search under which servers end
 //! - [`contact`]: whether the keys that this entry knows can be relied on
@@ -14,6 +15,8 @@
 //! - `rate_meter`: mean rate of requests
 //! - [`quota`]: quotas of teams over all entries together
 //! - [`rate_limit`]: this entry's part of the rates that servers state
+//! - [`fair_share`]: fair queueing between teams, by work
+//! - [`kind_shares`]: refusals of more and less urgent kinds of requests
 //! - [`server`]: measurements and limits of one backend server
 //! - [`service`]: servers and request queue of one service
 //! - [`request`]: state of one running request
@@ -32,6 +35,7 @@
 
 mod access;
 pub mod budget;
+pub mod claim;
 pub mod cold_limit;
 pub mod contact;
 mod copy_hold;
@@ -39,7 +43,9 @@
 pub mod decision;
 mod demand;
 pub mod engine;
+pub mod fair_share;
 pub mod fleet_size;
+pub mod kind_shares;
 pub mod merge;
 pub mod notice;
 pub mod peers;
--- a/crates/hornbeam_route/src/spill/choice.rs
+++ b/crates/hornbeam_route/src/spill/choice.rs
@@ -26,6 +26,8 @@
     pub stall_is_unsafe: bool,
     /// True if the response would be too late after waiting for capacity at home.
     pub wait_is_unsafe: bool,
+    /// True if every copy at home is slow or fails so much that a copy elsewhere gains enough.
+    pub home_is_slow: bool,
     /// Zone that the attempt leaves for by its draw.
     pub drawn: Option<&'a SmolStr>,
 }
@@ -56,6 +58,9 @@
     if copies.open == 0 {
         return if attempt.wait_is_unsafe { Scope::ZonesWithRoom } else { Scope::Home };
     }
+    if attempt.home_is_slow {
+        return Scope::Anywhere;
+    }
     if copies.prompt == 0 && attempt.stall_is_unsafe {
         return Scope::ZonesWithRoom;
     }
--- a/crates/hornbeam_route/tests/zone_spill.rs
+++ b/crates/hornbeam_route/tests/zone_spill.rs
@@ -255,11 +255,18 @@
 #[test]
 fn scopes() {
     let idle = HomeCopies { usable: 1, open: 1, prompt: 1 };
-    let first =
-        AttemptView { is_repeat: false, stall_is_unsafe: true, wait_is_unsafe: false, drawn: None };
+    let first = AttemptView {
+        is_repeat: false,
+        stall_is_unsafe: true,
+        wait_is_unsafe: false,
+        home_is_slow: false,
+        drawn: None,
+    };
     assert_eq!(scope(idle, first), Scope::Home);
     assert_eq!(scope(HomeCopies { prompt: 0, ..idle }, first), Scope::ZonesWithRoom);
     assert_eq!(scope(HomeCopies { usable: 1, open: 0, prompt: 0 }, first), Scope::Home);
+    let slow = AttemptView { home_is_slow: true, ..first };
+    assert_eq!(scope(idle, slow), Scope::Anywhere);
     let repeat = AttemptView { is_repeat: true, ..first };
     assert_eq!(scope(HomeCopies::default(), repeat), Scope::Anywhere);
     assert_eq!(scope(idle, repeat), Scope::HomeFirst);
