Requests leave a zone whose copies are lastingly slow or failing

Change: a copy counts as slow once a request sent after its first slow response gets a slow one too, and as failing from a failure rate of 0.25.

--- a/crates/hornbeam_route/src/engine/spilling.rs
+++ b/crates/hornbeam_route/src/engine/spilling.rs
@@ -188,7 +188,7 @@
             is_repeat,
             stall_is_unsafe: self.is_stall_unsafe(now, service, &home, left),
             wait_is_unsafe: self.is_wait_unsafe(now, service, &home, left),
-            home_is_slow: self.is_home_slow(now, spill, service, (&home, left)),
+            home_is_slow: self.is_home_slow(now, spill, service, left),
             drawn: drawn.as_ref(),
         };
         let scope = scope(copies, attempt);
@@ -309,18 +309,11 @@
         least.is_some_and(|cost| usual.mul_f64(cost) > left.mul_f64(UNSAFE_USE))
     }
 
-    /// Returns true if a copy elsewhere is expected to respond earlier than the best one at home by the
-    /// gain for which requests leave. One entry sends few requests to a copy, so the slowness that the
-    /// other entries report counts as well; the shares follow what is slow for all requests of a service.
-    fn is_home_slow(
-        &self,
-        now: Mono,
-        spill: &ZoneSpill,
-        service: usize,
-        (home, left): (&[SmolStr], Duration),
-    ) -> bool {
-        let usual = self.services[service].mean_latency();
-        let (mut best_home, mut best_away) = (f64::INFINITY, f64::INFINITY);
+    /// Returns true if the copies in this zone are lastingly slow or failing, so that one elsewhere is
+    /// expected to respond earlier by the gain for which requests leave. The shares of a service follow
+    /// its measured latencies, but an entry sends too few requests to a copy to measure it often.
+    fn is_home_slow(&self, now: Mono, spill: &ZoneSpill, service: usize, left: Duration) -> bool {
+        let (mut home, mut away) = (f64::INFINITY, f64::INFINITY);
         for idx in &self.services[service].servers {
             let server = &self.servers[*idx];
             if server.evacuated || server.is_ejected() || server.is_paused(now) {
@@ -329,12 +322,12 @@
             if !server.has_capacity() || self.zones.is_unreachable(&server.zone) {
                 continue;
             }
-            let best = if home.contains(&server.zone) { &mut best_home } else { &mut best_away };
-            *best = best.min(server.cost(now, usual));
+            let least = if server.same_zone { &mut home } else { &mut away };
+            *least = least.min(server.lasting_cost(now));
         }
         let Some(outflow) = spill.services.get(&service) else { return false };
-        let gain = usual.as_secs_f64() * (best_home - best_away);
-        best_home.is_finite() && gain > outflow.min_gain(&spill.params) * left.as_secs_f64()
+        let gain = self.services[service].mean_latency().as_secs_f64() * (home - away);
+        home.is_finite() && gain > outflow.min_gain(&spill.params) * left.as_secs_f64()
     }
 
     /// Returns true if a response would be too late after waiting for capacity at home.
--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -24,6 +24,10 @@
 const MIN_REPORTED_SLOWNESS: f64 = 5.0;
 /// Age of the last slowness measurement up to which a slow server is reported.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(2);
+/// Ratio to the usual latency from which a response counts as slow.
+const SLOW_RESPONSE_RATIO: f64 = 5.0;
+/// Failure rate from which failures count as lasting: three in a row, or as many among ten.
+const LASTING_FAILURE_RATE: f64 = 0.25;
 /// Weight of one response in the moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
 /// Consecutive attempts without a response after which a server is ejected.
@@ -94,6 +98,11 @@
     answered_at: Mono,
     /// Slowness that other entries reported, and when the report expires.
     peer_report: Option<(f64, Mono)>,
+    /// When the first slow response since the last one in time arrived.
+    slow_since: Option<Mono>,
+    /// True if a request that was sent after a slow response got a slow one as well. The requests that a
+    /// pause of the server delays are all sent before the first of their responses.
+    is_lastingly_slow: bool,
     failure_rate: f64,
     consecutive_failures: u32,
     /// True from a connection that could not be opened until the next response.
@@ -129,6 +138,8 @@
             slowness_at: Mono::default(),
             answered_at: Mono::default(),
             peer_report: None,
+            slow_since: None,
+            is_lastingly_slow: false,
             failure_rate: 0.0,
             consecutive_failures: 0,
             refuses_connections: false,
@@ -270,6 +281,15 @@
         self.stated_load.map_or(1.0, |load| load.cost_factor(now, measured, weight))
     }
 
+    /// Estimates the cost of a request without its queue, from what is not a single pause of the server:
+    /// failures, and slow responses one after the other.
+    pub fn lasting_cost(&self, now: Mono) -> f64 {
+        let slowness = if self.is_lastingly_slow { self.slowness(now).max(1.0) } else { 1.0 };
+        let failure_rate = self.failure_rate;
+        let failures = if failure_rate >= LASTING_FAILURE_RATE { failure_rate } else { 0.0 };
+        slowness * (1.0 + FAILURE_RATE_COST_FACTOR * failures)
+    }
+
     /// Returns the expected latency of this server with an empty queue.
     pub fn expected_latency(&self, now: Mono, usual: Duration) -> Duration {
         usual.mul_f64(self.slowness(now))
@@ -340,6 +360,13 @@
     ) -> bool {
         if let Some(usual) = usual {
             let ratio = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+            if ratio < SLOW_RESPONSE_RATIO {
+                self.slow_since = None;
+                self.is_lastingly_slow = false;
+            } else {
+                let first = *self.slow_since.get_or_insert(now);
+                self.is_lastingly_slow |= now.before(latency) >= first;
+            }
             let previous = self.own_slowness(now);
             let slowness = previous + (ratio - previous) * SLOWNESS_WEIGHT;
             self.slowness = slowness.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
