--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -312,6 +312,13 @@
                     self.on_fleet_status(now, from, FleetStatus { demand, ..status });
                 }
             }
+            // A controller of an earlier build sends no policy: its table would keep the keys of the old
+            // version, or need none. The table is requested again with the next fleet status.
+            FeedDown::TableDelta(_) | FeedDown::Table(_) if self.has_teams() => {
+                self.table_requested_at = None;
+                let fields = json!({"decision": "table_without_policy", "controller": from});
+                self.log("table_without_policy", true, &fields);
+            }
             FeedDown::TableDelta(delta) => match self.table.apply(&delta) {
                 Some(table) => self.on_table(table),
                 None => self.request_table(now, from, TableVersion(0)),
@@ -407,6 +414,10 @@
         }));
     }
 
+    fn has_teams(&self) -> bool {
+        !self.table.policy.teams.is_empty()
+    }
+
     pub(crate) fn has_table(&self) -> bool {
         self.table.version > TableVersion(0)
     }
--- a/crates/hornbeam_entry/src/feeds/pause.rs
+++ b/crates/hornbeam_entry/src/feeds/pause.rs
@@ -10,6 +10,7 @@
 /// Time in which the control thread did not run from which the process counts as paused: controllers
 /// close a feed that reads nothing for as long.
 const MIN_PAUSE: Duration = Duration::from_millis(1_200);
+
 impl ControllerFeeds {
     /// Reopens every feed after a suspension of the machine, since the state received before is
     /// outdated.
@@ -20,11 +21,12 @@
         self.reopen_feeds(now);
     }
 
-    /// Reopens every feed after a pause of the process if there are teams: the messages that wait in the
-    /// connections may state keys that were revoked meanwhile.
+    /// Reopens every feed after a pause of the process if there are teams or evacuations: the messages that
+    /// wait in the connections may state keys that were revoked, or zones that were evacuated meanwhile.
     pub(super) fn check_pause(&mut self, now: Mono) {
         let gap = now.since(std::mem::replace(&mut self.ran_at, now));
-        if gap < MIN_PAUSE || self.table.policy.teams.is_empty() {
+        let is_affected = !self.table.policy.teams.is_empty() || self.params.settings.evacuations;
+        if gap < MIN_PAUSE || !is_affected {
             return;
         }
         self.log("paused", true, &json!({"belief": "paused", "for_ms": gap.as_millis() as u64}));
--- a/crates/hornbeam_route/src/engine/fairness.rs
+++ b/crates/hornbeam_route/src/engine/fairness.rs
@@ -126,7 +126,7 @@
         let work = self.latencies.get(&running.route.name).and_then(LatencyWindow::low);
         let service = &mut self.services[service];
         let work = work.unwrap_or_else(|| service.mean_latency());
-        service.fair_share.charge(running.claim.team, work);
+        service.fair_share.charge(running.claim.rank, running.claim.team, work);
     }
 
     /// Counts a request that has arrived. Returns true if it is to be refused, because more urgent ones of
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -69,7 +69,7 @@
             answer_by: now + group.due_in,
             fingerprint: group.fingerprint,
             gather: Some(GatherState::default()),
-            regions: self.region_rule(&group.route.name, None),
+            regions: self.region_rule(&group.route.name, group.team.as_ref()),
             ..RunningRequest::new(key, group.id, group.route, services)
         };
         if is_relay && let Some(refusal) = self.relay_refusal(now, &running) {
--- a/crates/hornbeam_route/src/engine/placement.rs
+++ b/crates/hornbeam_route/src/engine/placement.rs
@@ -123,6 +123,7 @@
             ServerChoice::Server(server, cost) => {
                 self.send_if_allowed(now, (key, shard), (server, cost), out)
             }
+            ServerChoice::AtCapacity if self.may_not_start(now, key, shard) => false,
             ServerChoice::AtCapacity => {
                 self.log_cold_wait(now, key, shard, out);
                 self.enqueue(key, shard);
--- a/crates/hornbeam_route/src/engine/spilling.rs
+++ b/crates/hornbeam_route/src/engine/spilling.rs
@@ -120,7 +120,11 @@
             return !self.services[service].has_capacity();
         }
         let servers = self.services[service].servers.iter().map(|i| &self.servers[*i]);
-        let at_home: usize = servers.filter(|s| s.same_zone).map(|s| s.outstanding.len()).sum();
+        let mut at_home = servers.filter(|s| s.same_zone && !s.evacuated).peekable();
+        if at_home.peek().is_none() {
+            return !self.services[service].has_capacity();
+        }
+        let at_home: usize = at_home.map(|s| s.outstanding.len()).sum();
         !self.services[service].has_capacity_for(at_home as u32)
     }
 
@@ -232,6 +236,10 @@
     fn away_zones(&self, service: usize, home: &[SmolStr]) -> Vec<SmolStr> {
         let mut zones: Vec<SmolStr> = Vec::new();
         for idx in &self.services[service].servers {
+            // Nothing may be sent there, so an attempt to measure the zone would be due for good.
+            if self.servers[*idx].evacuated {
+                continue;
+            }
             let zone = &self.servers[*idx].zone;
             if !home.contains(zone) && !zones.contains(zone) {
                 zones.push(zone.clone());
--- a/crates/hornbeam_route/src/engine/zone_groups.rs
+++ b/crates/hornbeam_route/src/engine/zone_groups.rs
@@ -4,7 +4,7 @@
 //! shard from another zone. An entry over there merges the records of a group, which then cross once.
 //! Replayed in `tests/zone_groups`.
 
-use hornbeam_model::{Mono, QueryId};
+use hornbeam_model::{Mono, QueryId, Zone};
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
@@ -23,13 +23,18 @@
         out: &mut Vec<Output>,
     ) -> Vec<usize> {
         let mut handed = Vec::new();
+        let Some(running) = self.requests.get(&key) else { return handed };
+        let regions = running.regions.clone();
         for (zone, shards) in self.shards_by_zone(now, key) {
             let size = group_size(shards.len()).max(MIN_GROUP_SHARDS);
             for group in shards.chunks(size) {
                 if group.len() < MIN_GROUP_SHARDS {
                     continue;
                 }
-                let Some(peer) = self.peers.choose_in_zone(&zone, &mut self.rng) else { break };
+                let rules = &self.zone_rules;
+                let may_handle = |z: &Zone| regions.allows(rules.region(z));
+                let peer = self.peers.choose_in_zone(&zone, &mut self.rng, may_handle);
+                let Some(peer) = peer else { break };
                 self.delegate_group(now, key, &peer, group, out);
                 handed.extend_from_slice(group);
             }
--- a/crates/hornbeam_route/src/fair_share.rs
+++ b/crates/hornbeam_route/src/fair_share.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::claim::TeamSlot;
+use crate::claim::{Rank, TeamSlot};
 
 /// Teams after which those that are not ahead of the virtual time are removed.
 const MAX_TEAMS: usize = 256;
@@ -17,10 +17,11 @@
 /// Virtual times of the teams of one service, in microseconds of work.
 #[derive(Debug, Default)]
 pub struct FairShare {
-    /// Start of the work that was given last.
-    virtual_time: u64,
-    /// End of the work that each team was given.
-    finish: HashMap<TeamSlot, u64>,
+    /// Start of the work that was given last, by rank: a rank that is served more often must not move the
+    /// others past what their teams were given.
+    virtual_time: HashMap<Rank, u64>,
+    /// End of the work that each team was given in a rank.
+    finish: HashMap<(Rank, TeamSlot), u64>,
     /// True once work was given to a team.
     active: bool,
 }
@@ -32,21 +33,23 @@
     }
 
     /// Returns the virtual time at which the next work of a team starts.
-    pub fn start(&self, team: TeamSlot) -> u64 {
-        self.finish.get(&team).copied().unwrap_or_default().max(self.virtual_time)
+    pub fn start(&self, rank: Rank, team: TeamSlot) -> u64 {
+        let now = self.virtual_time.get(&rank).copied().unwrap_or_default();
+        self.finish.get(&(rank, team)).copied().unwrap_or_default().max(now)
     }
 
     /// Counts work that a team is given.
-    pub fn charge(&mut self, team: TeamSlot, work: Duration) {
+    pub fn charge(&mut self, rank: Rank, team: TeamSlot, work: Duration) {
         self.active |= team != TeamSlot::default();
         if !self.active {
             return;
         }
-        let start = self.start(team);
-        self.virtual_time = start;
-        self.finish.insert(team, start + as_micros(work));
+        let start = self.start(rank, team);
+        self.virtual_time.insert(rank, start);
+        self.finish.insert((rank, team), start + as_micros(work));
         if self.finish.len() > MAX_TEAMS {
-            self.finish.retain(|_, finish| *finish > start);
+            let times = &self.virtual_time;
+            self.finish.retain(|(rank, _), finish| times.get(rank).is_some_and(|t| *finish > *t));
         }
     }
 
@@ -54,7 +57,7 @@
     /// this work. `queued` holds the team of each.
     pub fn ahead_of(
         &self,
-        team: TeamSlot,
+        (rank, team): (Rank, TeamSlot),
         work: Duration,
         queued: impl Iterator<Item = TeamSlot>,
     ) -> usize {
@@ -64,9 +67,9 @@
         }
         let work = as_micros(work);
         let own = lengths.remove(&team).unwrap_or_default();
-        let start = self.start(team) + own as u64 * work;
+        let start = self.start(rank, team) + own as u64 * work;
         let before = |(other, length): (TeamSlot, usize)| {
-            let gap = start.saturating_sub(self.start(other));
+            let gap = start.saturating_sub(self.start(rank, other));
             length.min(gap.div_ceil(work) as usize)
         };
         own + lengths.into_iter().map(before).sum::<usize>()
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -179,10 +179,15 @@
 
     /// Chooses the entry of another zone with the fewest groups of this entry, and counts a group as
     /// delegated to it.
-    pub fn choose_in_zone(&mut self, zone: &str, rng: &mut SmallRng) -> Option<Peer> {
+    pub fn choose_in_zone(
+        &mut self,
+        zone: &str,
+        rng: &mut SmallRng,
+        may_handle: impl Fn(&Zone) -> bool,
+    ) -> Option<Peer> {
         let of_zone = (0..self.peers.len()).filter(|i| {
             let state = &self.peers[*i];
-            state.is_usable() && state.peer.zone.as_str() == zone
+            state.is_usable() && state.peer.zone.as_str() == zone && may_handle(&state.peer.zone)
         });
         let least =
             of_zone.min_by_key(|i| (self.peers[*i].groups, rng.random_range(0..u32::MAX)))?;
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -377,7 +377,10 @@
         wake = wake.min(self.reclaim_at.unwrap_or(Mono::MAX));
         if !self.overdue {
             wake = wake.min(self.answer_by);
-        } else if let Some(until) = self.patient_until.filter(|_| self.attempts == 0) {
+        } else if let Some(until) =
+            self.patient_until.filter(|_| self.attempts == 0 && !self.is_group())
+        {
+            // A group is queued until its deadline: `Engine::end_wait` leaves it to its origin.
             wake = wake.min(until);
         }
         wake
--- a/crates/hornbeam_route/src/service.rs
+++ b/crates/hornbeam_route/src/service.rs
@@ -1,6 +1,7 @@
 //! Servers and request queue of one service.
 
-use std::collections::{BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use hornbeam_model::{Mono, QueryId, RequestRate, ServiceId};
@@ -73,6 +74,8 @@
     pub fair_share: FairShare,
     /// Dispatches of more urgent requests since a lower rank had its turn, while one is queued.
     passed_over: u32,
+    /// The same by rank, so that all lower ranks have their turns.
+    passed_over_by_rank: BTreeMap<Rank, u32>,
     mean: Option<Duration>,
     /// Until when its shards are not relayed, since another entry reaches no server of it either.
     unservable_until: Mono,
@@ -95,6 +98,7 @@
             team_waits: HashMap::new(),
             fair_share: FairShare::default(),
             passed_over: 0,
+            passed_over_by_rank: BTreeMap::new(),
             mean: None,
             unservable_until: Mono::default(),
         }
@@ -202,11 +206,12 @@
     /// Returns the next waiter of the team that was given the least work, of the most urgent rank or of
     /// the next one if it was passed over too often.
     fn next_of_teams(&self, first: Waiter) -> Option<Waiter> {
-        let lower = || self.waiters.iter().find(|w| w.rank > first.rank);
         let is_due = self.passed_over >= MAX_PASSED_OVER;
-        let rank = lower().filter(|_| is_due).map_or(first.rank, |w| w.rank);
+        let count = |rank: &Rank| self.passed_over_by_rank.get(rank).copied().unwrap_or_default();
+        let lower = self.ranks().filter(|rank| is_due && *rank > first.rank);
+        let rank = lower.max_by_key(|rank| (count(rank), Reverse(*rank))).unwrap_or(first.rank);
         let of_rank = || self.waiters.iter().filter(move |w| w.rank == rank);
-        let team = of_rank().min_by_key(|w| self.fair_share.start(w.team))?.team;
+        let team = of_rank().min_by_key(|w| self.fair_share.start(w.rank, w.team))?.team;
         let of_team = || of_rank().filter(move |w| w.team == team);
         let newest = || of_team().rfind(|w| !w.is_patient);
         let next = if self.standing_queue { newest() } else { None };
@@ -216,8 +221,25 @@
     /// Removes a waiter that is dispatched from the queue.
     pub fn take_waiter(&mut self, waiter: &Waiter) {
         self.waiters.remove(waiter);
-        let passes_over = self.waiters.last().is_some_and(|w| w.rank > waiter.rank);
-        self.passed_over = if passes_over { self.passed_over + 1 } else { 0 };
+        self.passed_over_by_rank.remove(&waiter.rank);
+        if !self.fair_share.is_active() {
+            return;
+        }
+        let had_turn = self.waiters.first().is_some_and(|w| w.rank < waiter.rank);
+        let lower: Vec<Rank> = self.ranks().filter(|rank| *rank > waiter.rank).collect();
+        self.passed_over = if had_turn || lower.is_empty() { 0 } else { self.passed_over + 1 };
+        self.passed_over_by_rank.retain(|rank, _| *rank < waiter.rank || lower.contains(rank));
+        for rank in lower {
+            *self.passed_over_by_rank.entry(rank).or_default() += 1;
+        }
+    }
+
+    /// Returns the ranks of the queued requests, the most urgent first.
+    fn ranks(&self) -> impl Iterator<Item = Rank> {
+        let next = |rank: Option<Rank>| {
+            self.waiters.iter().map(|w| w.rank).find(|r| rank.is_none_or(|rank| *r > rank))
+        };
+        std::iter::successors(next(None), move |rank| next(Some(*rank)))
     }
 
     /// Returns the number of waiters that are served before another request with this claim: those of a
@@ -228,7 +250,8 @@
         }
         let more_urgent = self.waiters.iter().take_while(|w| w.rank < claim.rank).count();
         let of_rank = self.waiters.iter().filter(|w| w.rank == claim.rank).map(|w| w.team);
-        more_urgent + self.fair_share.ahead_of(claim.team, self.mean_latency(), of_rank)
+        more_urgent
+            + self.fair_share.ahead_of((claim.rank, claim.team), self.mean_latency(), of_rank)
     }
 
     /// Returns the expected wait of a request with this claim, with a limit of `max_in_flight` attempts.
