--- a/crates/hornbeam_route/tests/team_load.rs
+++ b/crates/hornbeam_route/tests/team_load.rs
@@ -159,3 +159,26 @@
     let (other, _) = world.served(1..2);
     assert!(other > 0.9 && other > burst, "{other} {burst}");
 }
+
+/// Guards against turns of the lower ranks that starve the first one, and against a third rank without
+/// any. The urgent team asks for half of the capacity, so all of its requests have room.
+#[test]
+fn three_ranks() {
+    let mut world = world(9, 4, 3);
+    world.set_teams(&[("t0", 0), ("t1", 1), ("t2", 2)]);
+    run(&mut world, 60.0, &[150.0, 400.0, 150.0]);
+    let [urgent, usual, patient] = [0, 1, 2].map(|t| world.served(t..t + 1).0);
+    assert!(urgent > 0.95, "{urgent} {usual} {patient}");
+    assert!(usual > patient && patient > 0.0, "{urgent} {usual} {patient}");
+}
+
+/// Guards against a more urgent team whose work hides what the teams behind it were given. The small
+/// teams ask for less than their share of what is left.
+#[test]
+fn fair_behind_urgent_team() {
+    let mut world = world(10, 4, 4);
+    world.set_teams(&[("t0", 0), ("t1", 1), ("t2", 1), ("t3", 1)]);
+    run(&mut world, 30.0, &[230.0, 500.0, 15.0, 15.0]);
+    let served: Vec<f64> = (0..4).map(|t| world.served(t..t + 1).0).collect();
+    assert!(served[2].min(served[3]) > 0.95, "{served:?}");
+}
