--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod backends;
 pub mod contact;
 pub mod core;
+mod decision_log;
 pub mod dialect;
 pub mod feed_connection;
 pub mod feed_event;
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`messages`]: inputs and outputs
 //! - [`admission`]: route matching, admission and refusal on arrival
-//! - [`placement`]: choice of a server for each shard, and the queue for capacity
+//! - [`placement`]: choice of a server for each shard
+//! - [`queueing`]: shards that wait for capacity
 //! - [`attempts`]: outcomes of attempts, and retries
 //! - [`notices`]: servers that leave or ask for a pause in their responses
 //! - [`rates`]: servers that state the rate of requests that they accept
@@ -38,6 +39,7 @@
 mod messages;
 mod notices;
 mod placement;
+mod queueing;
 mod quotas;
 mod rates;
 mod relaying;
