Findings of the review: quotas without controllers, dropped feeds, and warm-ups known from responses

Cause: an entry without a controller kept a burst that the fleet had used; a feed that the controller dropped itself was never closed for usage; usage queued for an old connection came first on the new one; a clock set back over a restart silenced an entry; a warm-up stated in responses was forgotten when the server lapsed. Change: as above, each in its place, partly by the reviewer's patch.

--- a/crates/hornbeam_controller/src/state/team_usage.rs
+++ b/crates/hornbeam_controller/src/state/team_usage.rs
@@ -1,5 +1,6 @@
 //! Use of the teams' quotas at the entries.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,6 +69,8 @@
         if !self.team_usages.has_quotas() {
             return None;
         }
+        let open: HashSet<_> = self.feeds.values().map(|f| &f.info.entry).collect();
+        self.team_usages.close_others(now, |entry| open.contains(entry));
         let heard = self.count_reporting_entries(now);
         self.team_usages.set_fleet(now, heard, self.count_entries(now));
         Some(FeedDown::TeamUsage(self.team_usages.summary(now)))
@@ -81,6 +84,6 @@
         };
         let feeds = self.feeds.values().filter(|f| f.features.includes(Features::TEAM_USAGE));
         let entries = feeds.map(|f| &f.info.entry).filter(|e| is_heard(e));
-        entries.collect::<std::collections::HashSet<_>>().len() as u32
+        entries.collect::<HashSet<_>>().len() as u32
     }
 }
--- a/crates/hornbeam_discovery/src/team_usage.rs
+++ b/crates/hornbeam_discovery/src/team_usage.rs
@@ -221,11 +221,21 @@
         }
     }
 
-    /// Records a report of an entry. Reports of an earlier start are ignored.
+    /// Records that all other entries have lost their feeds, also those whose feed the controller dropped.
+    pub fn close_others(&mut self, now: Mono, is_open: impl Fn(&InstanceId) -> bool) {
+        for (name, known) in &mut self.entries {
+            if known.lost_at.is_none() && !is_open(name) {
+                known.lost_at = Some(now);
+            }
+        }
+    }
+
+    /// Records a report of an entry. Reports of an earlier start are ignored, but for a baseline: the
+    /// incarnation is a time of day, which may be lower after a restart if the clock was set back.
     pub fn record(&mut self, now: Mono, entry: &InstanceId, report: UsageReport) {
         let UsageReport { incarnation, is_baseline, teams } = report;
         let known = self.entries.get(entry).map(|k| k.incarnation);
-        if known.is_some_and(|known| known > incarnation) {
+        if !is_baseline && known.is_some_and(|known| known > incarnation) {
             return;
         }
         if known != Some(incarnation) {
--- a/crates/hornbeam_entry/src/feed_connection.rs
+++ b/crates/hornbeam_entry/src/feed_connection.rs
@@ -109,6 +109,9 @@
         stream: &mut W,
         rx: &mut mpsc::UnboundedReceiver<FeedUp>,
     ) -> std::io::Error {
+        // Usage that was queued for the connection before. The controller may have been restarted or replaced by
+        // an earlier build since; it gets all counts once it has stated what it reads.
+        let mut queued_before = rx.len();
         let follow = FeedUp::Follow(self.me.clone());
         let mut frame = self.key.seal_with(&follow, &Features::OWN, MAX_STREAM_BYTES);
         loop {
@@ -121,10 +124,12 @@
             }
             let heartbeat_interval = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS);
             let message = match tokio::time::timeout(heartbeat_interval, rx.recv()).await {
+                Ok(Some(FeedUp::TeamUsage(_))) if queued_before > 0 => FeedUp::Heartbeat,
                 Ok(Some(message)) => message,
                 Ok(None) => return std::io::ErrorKind::NotConnected.into(),
                 Err(_) => FeedUp::Heartbeat,
             };
+            queued_before = queued_before.saturating_sub(1);
             frame = self.key.seal(&message, MAX_STREAM_BYTES);
         }
     }
--- a/crates/hornbeam_entry/src/feeds/team_usage.rs
+++ b/crates/hornbeam_entry/src/feeds/team_usage.rs
@@ -26,12 +26,15 @@
 impl LatestUsage {
     fn send(&self, feed: &Feed, teams: &[TeamUsage], is_baseline: bool) {
         for teams in teams.chunks(MAX_TEAMS) {
-            let incarnation = self.incarnation;
-            let report = UsageReport { incarnation, is_baseline, teams: teams.to_vec() };
-            // A feed that has just been lost gets all counts once it is reopened.
-            let _ = feed.tx.send(FeedUp::TeamUsage(report));
+            self.send_report(feed, teams.to_vec(), is_baseline);
         }
     }
+
+    fn send_report(&self, feed: &Feed, teams: Vec<TeamUsage>, is_baseline: bool) {
+        let report = UsageReport { incarnation: self.incarnation, is_baseline, teams };
+        // A feed that has just been lost gets all counts once it is reopened.
+        let _ = feed.tx.send(FeedUp::TeamUsage(report));
+    }
 }
 
 impl ControllerFeeds {
@@ -52,6 +55,8 @@
         if !feed.features.includes(Features::TEAM_USAGE) {
             return;
         }
+        // The first report states the incarnation also without any usage.
+        self.team_usage.send_report(feed, Vec::new(), true);
         let teams: Vec<TeamUsage> = self.team_usage.teams.values().cloned().collect();
         self.team_usage.send(feed, &teams, true);
     }
--- a/crates/hornbeam_route/src/cold_limit.rs
+++ b/crates/hornbeam_route/src/cold_limit.rs
@@ -121,6 +121,11 @@
         now < self.until
     }
 
+    /// Returns the end of the warm-up.
+    pub fn until(&self) -> Mono {
+        self.until
+    }
+
     /// Changes the rate and the end of the warm-up; the tokens stay.
     pub fn renew(&mut self, rate: RequestRate, until: Mono) {
         self.rate = rate;
--- a/crates/hornbeam_route/src/engine/quotas.rs
+++ b/crates/hornbeam_route/src/engine/quotas.rs
@@ -22,8 +22,10 @@
         out: &mut Vec<Output>,
     ) -> Option<Duration> {
         let team = team.filter(|_| !self.quotas.is_empty())?;
+        // Controllers that were just started count too few entries.
+        let entries = self.entries.max(self.fleet_size.peak() as u32);
         let OverQuota { wait, is_first, asked, alone } =
-            self.quotas.admit(now, team, self.entries, &mut self.rng).err()?;
+            self.quotas.admit(now, team, entries, &mut self.rng).err()?;
         if is_first {
             let retry_after_ms = wait.as_millis() as u64;
             let team = team.clone();
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -68,7 +68,9 @@
         s.same_zone = same_zone;
         s.zone = SmolStr::new(zone.as_str());
         s.slots = slots.max(1);
-        let stated = if has_cold_rate { s.warm_up_until } else { Mono::default() };
+        // A server that lapsed and is announced again may have stated its warm-up in responses only.
+        let known_cold = self.rate_limits.cold_until(&s.id, incarnation).unwrap_or_default();
+        let stated = if has_cold_rate { s.warm_up_until.max(known_cold) } else { Mono::default() };
         s.warm_up_until = stated.max(now + warm_up);
         s.set_share(share);
         // A server that lapsed and is announced again still wants its pause.
--- a/crates/hornbeam_route/src/quota/bucket.rs
+++ b/crates/hornbeam_route/src/quota/bucket.rs
@@ -15,6 +15,11 @@
         Self { tokens: 0.0, refilled_at: from }
     }
 
+    /// Returns until when the gained tokens are included.
+    pub fn refilled_at(&self) -> Mono {
+        self.refilled_at
+    }
+
     /// Adds the tokens gained since the last call.
     pub fn refill(&mut self, now: Mono, rate: f64, burst: f64) {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
--- a/crates/hornbeam_route/src/quota/mod.rs
+++ b/crates/hornbeam_route/src/quota/mod.rs
@@ -177,7 +177,12 @@
         let standing = self.views.standing(now, name);
         let decided = match &standing {
             Some(standing) => team.admit(now, standing, fleet),
-            None => team.admit_alone(now, fleet, rng.random()),
+            None => {
+                if let Some((at, balance)) = self.views.last_balance(name) {
+                    team.bound_alone(at, balance, fleet);
+                }
+                team.admit_alone(now, fleet, rng.random())
+            }
         };
         let (asked, alone) = (team.asked_rate(now), standing.is_none());
         decided.map_err(|wait| OverQuota { wait, is_first, asked, alone })
--- a/crates/hornbeam_route/src/quota/team.rs
+++ b/crates/hornbeam_route/src/quota/team.rs
@@ -115,6 +115,15 @@
         Err(self.refuse(now, (1.0 - balance).max(0.0), ahead, quota.rate))
     }
 
+    /// Bounds the credit without a controller by what the fleet had left at the last report, which arrived at
+    /// `at`; this entry may have had no request of the team since long before.
+    pub fn bound_alone(&mut self, at: Mono, balance: f64, fleet: Fleet) {
+        if self.alone.refilled_at() < at {
+            self.alone = Bucket::new(at);
+            self.alone.tokens = (balance / f64::from(fleet.entries)).max(0.0);
+        }
+    }
+
     /// Decides on a request without a recent report of a controller: by chance, with the part of a
     /// request that an equal part of the quota allows. `draw` is random, from 0 to 1.
     pub fn admit_alone(&mut self, now: Mono, fleet: Fleet, draw: f64) -> Result<(), Duration> {
--- a/crates/hornbeam_route/src/quota/view.rs
+++ b/crates/hornbeam_route/src/quota/view.rs
@@ -76,6 +76,14 @@
         self.best(now).any(|v| v.teams.contains_key(team))
     }
 
+    /// Returns the lowest balance of a team in the latest reports, however old, and when it arrived; `None` if
+    /// none of them lists the team.
+    pub fn last_balance(&self, team: &TeamId) -> Option<(Mono, f64)> {
+        let listed = self.controllers.values().filter_map(|v| Some((v.at, v.teams.get(team)?)));
+        let balances = listed.map(|(at, total)| (at, total.balance.requests()));
+        balances.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
     /// Returns what the controllers report about a team; `None` without a recent report.
     pub fn standing(&self, now: Mono, team: &TeamId) -> Option<Standing> {
         let best = self.best(now);
--- a/crates/hornbeam_route/src/rate_limit.rs
+++ b/crates/hornbeam_route/src/rate_limit.rs
@@ -235,6 +235,13 @@
         }
     }
 
+    /// Returns the end of the warm-up of this start of a server, as far as it is known.
+    pub fn cold_until(&self, server: &ServerId, incarnation: Incarnation) -> Option<Mono> {
+        let limit = self.servers.get(server)?;
+        let cold = limit.cold.as_ref().filter(|_| limit.statement.incarnation == incarnation);
+        cold.map(ColdLimit::until)
+    }
+
     /// Ends the warm-up of a server.
     pub fn end_cold(&mut self, server: &ServerId) {
         if let Some(limit) = self.servers.get_mut(server) {
