The last response of a lastingly slow copy decides whether its zone is left

Cause: a few responses hardly raise the mean by which a copy was judged, so requests came back to a copy 9 times slower within a second; its hedges used up the retry budget of the service.

--- a/crates/hornbeam_route/src/server.rs
+++ b/crates/hornbeam_route/src/server.rs
@@ -103,6 +103,8 @@
     /// True if a request that was sent after a slow response got a slow one as well. The requests that a
     /// pause of the server delays are all sent before the first of their responses.
     is_lastingly_slow: bool,
+    /// Latency of the last response relative to the usual one.
+    last_ratio: f64,
     failure_rate: f64,
     consecutive_failures: u32,
     /// True from a connection that could not be opened until the next response.
@@ -140,6 +142,7 @@
             peer_report: None,
             slow_since: None,
             is_lastingly_slow: false,
+            last_ratio: 1.0,
             failure_rate: 0.0,
             consecutive_failures: 0,
             refuses_connections: false,
@@ -282,9 +285,12 @@
     }
 
     /// Estimates the cost of a request without its queue, from what is not a single pause of the server:
-    /// failures, and slow responses one after the other.
+    /// failures, and slow responses one after the other. The last response counts rather than the mean, which a
+    /// few responses hardly raise.
     pub fn lasting_cost(&self, now: Mono) -> f64 {
-        let slowness = if self.is_lastingly_slow { self.slowness(now).max(1.0) } else { 1.0 };
+        let ratio =
+            if self.is_lastingly_slow { self.last_ratio.min(SLOWNESS_RANGE.1) } else { 1.0 };
+        let slowness = 1.0 + (ratio - 1.0) * self.decay(now);
         let failure_rate = self.failure_rate;
         let failures = if failure_rate >= LASTING_FAILURE_RATE { failure_rate } else { 0.0 };
         slowness * (1.0 + FAILURE_RATE_COST_FACTOR * failures)
@@ -313,8 +319,13 @@
 
     /// Slowness measured by this entry, decayed toward 1.0 since the last measurement.
     fn own_slowness(&self, now: Mono) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.decay(now)
+    }
+
+    /// Part of a measured slowness that still counts.
+    fn decay(&self, now: Mono) -> f64 {
         let idle = now.since(self.slowness_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
-        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(idle)
+        0.5_f64.powf(idle)
     }
 
     /// Records a health report of another entry. A recent measurement of this entry takes
@@ -360,6 +371,7 @@
     ) -> bool {
         if let Some(usual) = usual {
             let ratio = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+            self.last_ratio = ratio;
             if ratio < SLOW_RESPONSE_RATIO {
                 self.slow_since = None;
                 self.is_lastingly_slow = false;
