Quotas: a jump from full use exceeds the limit, listed as known red; short zones with many entries

Cause: the review showed that a team at its whole rate that jumps to 7.5 times runs more than allowed until the reports arrive; no test had that load. Change: quotas jump_from_full_use, ignored and listed in KNOWN-RED.txt; zone_spill short_zones_with_many_entries.

--- a/crates/hornbeam_route/tests/quotas.rs
+++ b/crates/hornbeam_route/tests/quotas.rs
@@ -261,3 +261,23 @@
     assert!(admitted as f64 >= 0.9 * 60.0 * 6.0, "{admitted} admitted");
     check(&fleet, 0, quota, start);
 }
+
+/// A team that uses its whole quota sends 7.5 times as much, with messages of 5 ms. Guards against a sum
+/// above the limit while the reports of the jump are on their way.
+#[yare::parameterized(
+    every_entry = { 80, (300.0, 0) },
+    with_burst = { 80, (120.0, 60) },
+    few_entries = { 25, (300.0, 0) },
+)]
+#[ignore = "exceeds the limit: see KNOWN-RED.txt"]
+fn jump_from_full_use(entries: usize, quota: (f64, u32)) {
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(entries, 6, &[quota], seed);
+        fleet.delay = Duration::from_millis(5);
+        let start = fleet.now;
+        fleet.run(20 * SECOND, &[even(quota.0, entries)]);
+        fleet.run(BURST, &[even(quota.0 * 7.5, entries)]);
+        fleet.run(5 * SECOND, &[even(quota.0, entries)]);
+        check(&fleet, 0, quota, start);
+    }
+}
--- a/crates/hornbeam_route/tests/zone_spill.rs
+++ b/crates/hornbeam_route/tests/zone_spill.rs
@@ -299,3 +299,17 @@
     }
     assert_eq!(distances.nearest(zones.iter()), zones[1..]);
 }
+
+/// Guards against a spill that serves fewer requests than a choice by cost when every zone is short and
+/// many entries share the servers.
+#[test]
+fn short_zones_with_many_entries() {
+    let many = Site { entries: 45, ..ZONE_SITE };
+    let serve = |spill| {
+        let mut world = start_site(many, 11, spill);
+        run(&mut world, SHORT, 6 * SECOND);
+        served(&world).iter().sum::<f64>()
+    };
+    let (by_cost, with_spill) = (serve(false), serve(true));
+    assert!(with_spill >= by_cost, "{with_spill} of {by_cost}");
+}
