--- a/crates/hornbeam_controller/src/state/team_usage.rs
+++ b/crates/hornbeam_controller/src/state/team_usage.rs
@@ -14,8 +14,8 @@
 use crate::feed::FeedId;
 
 impl Controller {
-    /// Records the report of an entry. If it concerns a team near its quota, the entries are told sooner
-    /// than at the next heartbeat.
+    /// Records the report of an entry. If it concerns a team near its quota, it is passed on to the
+    /// entries sooner than at the next heartbeat.
     pub(super) fn on_team_usage(&mut self, now: Mono, id: FeedId, report: UsageReport) {
         let Some(feed) = self.feeds.get(&id) else { return };
         let entry = feed.info.entry.clone();
--- a/crates/hornbeam_route/src/contact.rs
+++ b/crates/hornbeam_route/src/contact.rs
@@ -38,7 +38,7 @@
 /// Contact with the controllers, as far as the check of keys needs it.
 #[derive(Debug, Default)]
 pub(crate) struct TableContact {
-    /// `None` in an engine that is not told: its table counts as current.
+    /// `None` in an engine without this input: its table counts as current.
     contact: Option<ControllerContact>,
     /// True once the table in force was the latest that a majority of the controllers had stated.
     confirmed: bool,
--- a/crates/hornbeam_route/src/fair_share.rs
+++ b/crates/hornbeam_route/src/fair_share.rs
@@ -11,8 +11,8 @@
 
 use crate::claim::{Rank, TeamSlot};
 
-/// Teams after which those that are not ahead of the virtual time are removed.
-const MAX_TEAMS: usize = 256;
+/// Teams, counted in each rank, after which those that are not ahead of the virtual time are removed.
+const MAX_FINISH_TIMES: usize = 256;
 
 /// Virtual times of the teams of one service, in microseconds of work.
 #[derive(Debug, Default)]
@@ -47,7 +47,7 @@
         let start = self.start(rank, team);
         self.virtual_time.insert(rank, start);
         self.finish.insert((rank, team), start + as_micros(work));
-        if self.finish.len() > MAX_TEAMS {
+        if self.finish.len() > MAX_FINISH_TIMES {
             let times = &self.virtual_time;
             self.finish.retain(|(rank, _), finish| times.get(rank).is_some_and(|t| *finish > *t));
         }
--- a/crates/hornbeam_route/src/quota/mod.rs
+++ b/crates/hornbeam_route/src/quota/mod.rs
@@ -8,7 +8,7 @@
 //! - `meter`: rate at which a team asks
 //! - `bucket`: token bucket
 //! - `view`: reports of the controllers
-//! - `waiting`: refused requests that were told when to come back
+//! - `waiting`: refused requests that have a time to come back
 //! - `team`: decision for one team
 
 pub mod bounds;
--- a/crates/hornbeam_route/src/quota/team.rs
+++ b/crates/hornbeam_route/src/quota/team.rs
@@ -23,7 +23,7 @@
 /// Longest time after which a caller is asked to come back.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 /// Part of the rate that is counted on for callers that come back; new requests use the rest. With the
-/// whole rate, 57 of 100 were admitted at the time that they were told, with half of it 87.
+/// whole rate, 57 of 100 were admitted at the time that was stated, with half of it 87.
 const RETURNING_PART: f64 = 0.5;
 /// Lowest rate of one entry that is still reported, in requests per second.
 const MIN_REPORTED_RATE: f64 = 0.02;
--- a/crates/hornbeam_route/src/quota/waiting.rs
+++ b/crates/hornbeam_route/src/quota/waiting.rs
@@ -1,4 +1,4 @@
-//! Refused requests that were told when to come back, until that time.
+//! Refused requests that have a time to come back, until that time.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -15,7 +15,7 @@
 }
 
 impl Waiting {
-    /// Records a request that is told to come back at `at`.
+    /// Records a request that may come back at `at`.
     pub fn add(&mut self, at: Mono) {
         if self.until.len() < MAX_WAITING {
             self.until.push(Reverse(at));
