Feeds that open get the latest sum of quotas; account of hard load

Cause: a controller summed up the use of all quotas for each feed that was opened. Change: a sum younger than a heartbeat interval is sent again.

--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -88,6 +88,8 @@
     rate_reports: RateReports,
     team_usages: TeamUsages,
     next_team_usage_at: Mono,
+    /// Use of the quotas as it was encoded last, and when.
+    latest_team_usage: Option<(Mono, Rc<Vec<u8>>)>,
     team_usage_sent_at: Mono,
     crash_reports: CrashReports,
     /// `None` without a data folder, or if it cannot be written.
@@ -179,6 +181,7 @@
             rate_reports: RateReports::default(),
             team_usages: TeamUsages::new(now),
             next_team_usage_at: now,
+            latest_team_usage: None,
             team_usage_sent_at: now,
             crash_reports: CrashReports::default(),
             crash_file: None,
@@ -306,6 +309,7 @@
         self.write_log("suspended", true, &fields);
         self.registry.clear_ready();
         self.feeds.clear();
+        self.latest_team_usage = None;
         self.feeds_changed = true;
     }
 
--- a/crates/hornbeam_controller/src/state/team_usage.rs
+++ b/crates/hornbeam_controller/src/state/team_usage.rs
@@ -1,6 +1,7 @@
 //! Use of the teams' quotas at the entries.
 
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,8 +43,7 @@
         let interval = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS);
         self.next_team_usage_at = now + interval;
         self.team_usage_sent_at = now;
-        let Some(message) = self.team_usage_message(now) else { return };
-        let Some(frame) = self.seal(&message) else { return };
+        let Some(frame) = self.team_usage_frame(now) else { return };
         // A feed with a full queue is dropped; the entry opens a new one and gets the whole state.
         self.feeds.retain(|_, f| {
             !f.features.includes(Features::TEAM_USAGE) || f.tx.try_send(frame.clone()).is_ok()
@@ -57,11 +57,26 @@
         if !feed.features.includes(Features::TEAM_USAGE) {
             return;
         }
-        if let Some(message) = self.team_usage_message(now) {
-            self.send_to(id, &message);
+        // Summing up takes time for each entry and team. When all entries open their feeds after a restart of
+        // the fleet, a sum for each of them would take longer than the timeout of a feed.
+        let max_age = Duration::from_millis(FEED_HEARTBEAT_INTERVAL_MS);
+        let latest = self.latest_team_usage.clone().filter(|(at, _)| now.since(*at) < max_age);
+        let Some(frame) = latest.map(|(_, f)| f).or_else(|| self.team_usage_frame(now)) else {
+            return;
+        };
+        if self.feeds.get(&id).is_some_and(|f| f.tx.try_send(frame).is_err()) {
+            self.feeds.shift_remove(&id);
         }
     }
 
+    /// Sums up the use of the quotas, and keeps the encoded message for feeds that are opened soon.
+    fn team_usage_frame(&mut self, now: Mono) -> Option<Rc<Vec<u8>>> {
+        let message = self.team_usage_message(now)?;
+        let frame = self.seal(&message)?;
+        self.latest_team_usage = Some((now, frame.clone()));
+        Some(frame)
+    }
+
     fn team_usage_message(&mut self, now: Mono) -> Option<FeedDown> {
         self.team_usages.observe(now);
         let policy: Arc<TrafficPolicy> = self.tables.policy();
