--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -85,7 +85,7 @@
     net: (u8, u8),
     pub programs: Vec<Program>,
     seeds: Vec<Ipv4Addr>,
-    extra_entry_settings: String,
+    pub extra_entry_settings: String,
 }
 
 fn signal(pid: u32, name: &str) {
