Review: a tenant exceeds its quota while the controllers restart

Cause: an entry takes the last report of a controller that has ended as valid for 1.2 s, and a team that it does not list as far from its quota.

--- a/review/standin/quota.rs
+++ b/review/standin/quota.rs
@@ -1,4 +1,5 @@
-//! A tenant that uses its whole quota sends several times as much for some seconds.
+//! A tenant sends several times its usual for some seconds. In the case `jump` it uses its whole quota
+//! before; in the case `restart` it has rested, and all controllers are killed right after the jump.
 
 mod fleet;
 
@@ -13,8 +14,6 @@
 const ENTRIES: usize = 9;
 /// Connections of requesters to each entry; each sends at an equal pace.
 const CONNECTIONS: usize = 6;
-/// The quota of the tenant, in requests a second; it has no burst.
-const RATE: f64 = 300.0;
 /// How many times its usual the tenant sends, and for how long: the largest dose of `hot_tenant`.
 const TIMES: f64 = 7.5;
 const HOT: Duration = Duration::from_millis(6500);
@@ -23,13 +22,33 @@
 const OVERSHOOT: f64 = 0.1;
 const TOLERANCE: f64 = 20.0;
 
-fn config() -> String {
+/// What differs between the cases.
+struct Plan {
+    /// The quota of the tenant: requests a second, and the burst.
+    rate: f64,
+    burst: f64,
+    /// The usual of the tenant, in requests a second.
+    usual: f64,
+    /// Time from the jump to the kill of all controllers, if they are killed.
+    kill_after: Option<Duration>,
+}
+
+/// Time for which the controllers are down; the pages say that they are back within a second.
+const DOWN: Duration = Duration::from_millis(900);
+
+fn config(plan: &Plan) -> String {
+    let (rate, burst) = (plan.rate, plan.burst);
     format!(
-        r#"{{"version":1,"routes":[{{"name":"r-serial","host":"portal.example","path-prefix":"/serial/","route-type":"idempotent","timeout-ms":6000,"target-latency-ms":800,"priority":1,"service":"warranty","max-attempts":2}}],"services":[{{"name":"warranty","health-path":"/healthz","max-connections":540,"protocol":"h1","tls-enabled":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"installer","api-keys":["k-3f19c2"],"rate-per-s":{RATE},"burst":0}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"r-serial","host":"portal.example","path-prefix":"/serial/","route-type":"idempotent","timeout-ms":6000,"target-latency-ms":800,"priority":1,"service":"warranty","max-attempts":2}}],"services":[{{"name":"warranty","health-path":"/healthz","max-connections":540,"protocol":"h1","tls-enabled":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"installer","api-keys":["k-3f19c2"],"rate-per-s":{rate},"burst":{burst}}}]}}"#
     )
 }
 
 fn run(case: &Case) -> Result<i32, String> {
+    let is_restart = std::env::args().any(|a| a == "case=restart");
+    let plan = match is_restart {
+        true => Plan { rate: 100.0, burst: 400.0, usual: 100.0, kill_after: Some(ms(350)) },
+        false => Plan { rate: 300.0, burst: 0.0, usual: 300.0, kill_after: None },
+    };
     let record = case.record.clone();
     let text = |e: std::io::Error| e.to_string();
     let zones = ["kitami-a", "obihiro-b", "kushiro-c"];
@@ -47,7 +66,7 @@
         let s = Searcher::start(&fleet, &arrivals, &id, "warranty", zone, address, work);
         searchers.push(s.map_err(text)?);
     }
-    put_config(&fleet, &config(), ms(20_000)).ok_or("the configuration is refused")?;
+    put_config(&fleet, &config(&plan), ms(20_000)).ok_or("the configuration is refused")?;
     for n in 0..ENTRIES {
         if !wait_ready(&fleet, fleet.entry(n), ms(20_000)) {
             return Err("an entry is not ready".into());
@@ -55,7 +74,7 @@
     }
     // Rate of each connection, in millionths of a request a second.
     let pace = Arc::new(AtomicU64::new(0));
-    let usual = RATE / (ENTRIES * CONNECTIONS) as f64;
+    let usual = plan.usual / (ENTRIES * CONNECTIONS) as f64;
     let set = |times: f64| pace.store((usual * times * 1e6) as u64, Ordering::Relaxed);
     set(1.0);
     let stop = Arc::new(AtomicBool::new(false));
@@ -96,11 +115,28 @@
     }
     // The tenant is steady for longer than two windows first.
     thread::sleep(ms(15_000));
-    if case.trouble {
+    // In the case `restart` the jump is part of the load, and the kill is the disruption left out.
+    if case.trouble || is_restart {
         record.line("the tenant sends 7.5 times its usual");
         set(TIMES);
     }
-    thread::sleep(HOT);
+    let hot_until = Instant::now() + HOT;
+    if let Some(after) = plan.kill_after.filter(|_| case.trouble) {
+        thread::sleep(after);
+        let controllers: Vec<usize> =
+            (0..fleet.programs.len()).filter(|i| !fleet.programs[*i].is_entry).collect();
+        for i in &controllers {
+            fleet.signal(*i, "KILL");
+        }
+        for i in &controllers {
+            fleet.reap(*i, ms(2000));
+        }
+        thread::sleep(DOWN);
+        for i in &controllers {
+            fleet.start(*i, false).map_err(text)?;
+        }
+    }
+    thread::sleep(hot_until.saturating_duration_since(Instant::now()));
     set(1.0);
     record.line("the tenant sends its usual");
     thread::sleep(ms(6_000));
@@ -137,7 +173,7 @@
             most = (inside, *from);
         }
     }
-    let allowed = RATE * WINDOW * (1.0 + OVERSHOOT) + TOLERANCE;
+    let allowed = (plan.rate * WINDOW + plan.burst) * (1.0 + OVERSHOOT) + TOLERANCE;
     record.line(&format!("answers by status: {statuses:?}"));
     record.line(&format!(
         "most requests that were sent and ran in {WINDOW} s: {} from {:.3} s on; QUOTA allows {allowed}",
