--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 dir=$(mktemp -d) || exit 2
-timeout -k 5 110 target/review/quota root="$PWD" dir="$dir" record=review/5/record.txt \
+timeout -k 5 110 target/review/headers root="$PWD" dir="$dir" record=review/5/record.txt \
   trouble="${TROUBLE:-1}"
 code=$?
 rm -rf "$dir"
