Review: case 2 no longer depends on the rhythm of its requesters

Cause: run again beside other scripts, case 2 held: all its requesters sent at the same moment, and no server of the other service had answered an entry, so that crashes were often not confirmed. Done: the requesters have different paces, one of each entry uses the other service, and the service crashes four times.

--- a/review/standin/outage.rs
+++ b/review/standin/outage.rs
@@ -1,5 +1,5 @@
 //! The final fault kills all programs, which are back within a second. Soon after, all searchers of a service
-//! crash three times within a few seconds, and are well from then on. Requesters send searches that differ in
+//! crash four times within a few seconds, and are well from then on. Requesters send searches that differ in
 //! their query, all the time.
 
 mod fleet;
@@ -16,16 +16,18 @@
 const CONTROLLERS: usize = 4;
 const SEARCHERS: u8 = 4;
 const OTHERS: u8 = 3;
-/// Requesters at each entry, and the pause of each between two searches.
+/// Requesters at each entry, and the pause of the first between two searches; each other one pauses a little longer.
 const REQUESTERS: usize = 3;
-const PAUSE: Duration = Duration::from_millis(300);
+const PAUSE: Duration = Duration::from_millis(60);
+/// Pause of the one requester at each entry that uses the other service.
+const OTHER_PAUSE: Duration = Duration::from_millis(600);
 /// Work of a search: usual, and at a searcher that has just started (`cold_x` 1.6 for 3 s).
 const WORK: Duration = Duration::from_millis(220);
 const COLD_WORK: Duration = Duration::from_millis(352);
 const COLD: Duration = Duration::from_secs(3);
 /// How often all searchers crash, how long they are down, and how long they are up in between.
-const CRASHES: usize = 3;
-const DOWN: Duration = Duration::from_millis(1000);
+const CRASHES: usize = 4;
+const DOWN: Duration = Duration::from_millis(1500);
 const UP: Duration = Duration::from_millis(300);
 /// All programs are back within a second after the final fault.
 const ALL_DOWN: Duration = Duration::from_millis(900);
@@ -53,7 +55,7 @@
 }
 
 /// Sends one search at the time; a connection is used again until it fails.
-fn search(record: &Record, http: &mut Option<Http>, to: std::net::SocketAddr, query: &str) -> (Duration, u16) {
+fn search(record: &Record, http: &mut Option<Http>, to: std::net::SocketAddr, path: &str) -> (Duration, u16) {
     if http.is_none() {
         *http = Http::connect(to, ms(1000)).ok();
         if let Some(h) = http {
@@ -61,7 +63,7 @@
         }
     }
     let id = next_id();
-    let text = request("GET", &format!("/consult/search?q={query}"), "portal.example", &id, 8000, "");
+    let text = request("GET", path, "portal.example", &id, 8000, "");
     let at = record.now();
     let reply = http.as_mut().map(|h| h.write(text.as_bytes()).and_then(|()| h.read_message()));
     let status = match &reply {
@@ -73,7 +75,7 @@
     };
     let why = reply.and_then(Result::ok).filter(|r| r.head.status() != 200);
     let why = why.map(|r| String::from_utf8_lossy(&r.body).into_owned()).unwrap_or_default();
-    record.line(&format!("request {id} for {query}, sent at {:.3}, was answered {status} {why}", at.as_secs_f64()));
+    record.line(&format!("request {id} for {path}, sent at {:.3}, was answered {status} {why}", at.as_secs_f64()));
     (at, status)
 }
 
@@ -104,7 +106,7 @@
     let mut threads = Vec::new();
     for n in 0..ENTRIES {
         let to = addr(fleet.programs[fleet.entry(n)].ip, CALLERS_PORT);
-        for c in 0..REQUESTERS {
+        for c in 0..=REQUESTERS {
             let (record, stop) = (record.clone(), stop.clone());
             threads.push(thread::spawn(move || {
                 let (mut http, mut answers) = (None, Vec::new());
@@ -113,9 +115,15 @@
                     if stop.load(Ordering::Relaxed) {
                         break;
                     }
-                    let query = format!("notice-{n}-{c}-{number}");
-                    answers.push(search(&record, &mut http, to, &query));
-                    thread::sleep(PAUSE);
+                    // The last requester of an entry uses the other service, seldom.
+                    let is_other = c == REQUESTERS;
+                    let path = match is_other {
+                        true => format!("/archive/search?q=order-{n}-{number}"),
+                        false => format!("/consult/search?q=notice-{n}-{c}-{number}"),
+                    };
+                    answers.push(search(&record, &mut http, to, &path));
+                    let pause = PAUSE + ms((n * REQUESTERS + c) as u64 * 7);
+                    thread::sleep(if is_other { OTHER_PAUSE } else { pause });
                 }
                 answers
             }));
