A server's 503 for a request that it ran is not passed on as a refusal

Cause: a signed response was sorted by success alone, so a signed 503 without the server's statement that it did not run the request was forwarded like any other failure; a relayed request took the same way at the origin. Change: such a response is a false refusal, an outcome of its own in log and metrics. A request that may run once ends with 502 then; others get the response unchanged. The origin sorts by the status itself, since an entry of an earlier build forwards false refusals too. Why it works: the attempt still counts as a possible run, so no path of the engine can refuse as not run; the response is discarded where it would be forwarded.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -310,8 +310,7 @@
         let connection = IdleConnection { stream, expires_at, last_request };
         core.backends().put(&attempt.server, connection, attempt.share);
     }
-    let counts = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Error);
-    Exchange { outcome, notice, response: counts.then_some(response) }
+    Exchange { outcome, notice, response: outcome.has_run().then_some(response) }
 }
 
 /// Reads what a server states about itself in a response. The response of a server that the
@@ -359,7 +358,19 @@
     if response.header(&dialect.signature).is_none() {
         return AttemptOutcome::Lost;
     }
-    if response.status.is_success() { AttemptOutcome::Answered } else { AttemptOutcome::Error }
+    outcome_of_run(response.status)
+}
+
+/// Returns the outcome of a request that a server ran and answered with this status.
+pub fn outcome_of_run(status: StatusCode) -> AttemptOutcome {
+    match status {
+        StatusCode::REQUEST_TIMEOUT
+        | StatusCode::MISDIRECTED_REQUEST
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE => AttemptOutcome::FalseRefusal,
+        status if status.is_success() => AttemptOutcome::Answered,
+        _ => AttemptOutcome::Error,
+    }
 }
 
 /// Returns how long a connection may be idle and still be reused, or `None` if the server closes
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -347,9 +347,8 @@
             if remove(forwarded.group).is_none() {
                 return;
             }
-            let is_error = forwarded.is_error;
             let event = match core.add_forwarded_response(group, forwarded) {
-                Ok(()) => GroupEvent::Forwarded { is_error },
+                Ok(outcome) => GroupEvent::Forwarded { outcome },
                 // The server's response cannot be passed on, and the request has run.
                 Err(e) => {
                     log::error!("{peer} forwarded a response that is not valid ({e})");
--- a/crates/hornbeam_entry/src/groups.rs
+++ b/crates/hornbeam_entry/src/groups.rs
@@ -6,11 +6,12 @@
 use hornbeam_discovery::FeedCounts;
 use hornbeam_model::{AttemptId, InstanceId, QueryId};
 use hornbeam_protocol::gather::{ForwardedResponse, GatheredResponse, GatheredResponses};
-use hornbeam_route::{Delegation, Engine, GroupRequest, Input, merge_records};
+use hornbeam_route::{AttemptOutcome, Delegation, Engine, GroupRequest, Input, merge_records};
 use hyper::StatusCode;
 use hyper::http::status::InvalidStatusCode;
 use serde_json::json;
 
+use crate::backends::outcome_of_run;
 use crate::core::{AttemptResult, Core, ForwardedRequest, GroupResponses};
 use crate::response::RawResponse;
 
@@ -57,7 +58,8 @@
         }
     }
 
-    /// Adds the response of a server that another entry forwarded.
+    /// Adds the response of a server that another entry forwarded; returns the outcome of the attempt.
+    /// An entry of an earlier build also forwards false refusals.
     ///
     /// # Errors
     ///
@@ -66,11 +68,11 @@
         &self,
         group: AttemptId,
         forwarded: ForwardedResponse,
-    ) -> Result<(), InvalidStatusCode> {
+    ) -> Result<AttemptOutcome, InvalidStatusCode> {
         let status = StatusCode::from_u16(forwarded.status)?;
         let response = RawResponse::new(status, forwarded.head, forwarded.body);
         self.results.borrow_mut().insert(group, AttemptResult::Response(response));
-        Ok(())
+        Ok(outcome_of_run(status))
     }
 
     /// Forwards the response of a server to the origin entry of a gathered request.
--- a/crates/hornbeam_route/src/engine/attempts.rs
+++ b/crates/hornbeam_route/src/engine/attempts.rs
@@ -79,7 +79,9 @@
                     out.push(Output::Log(Decision::Restored { server, service }));
                 }
             }
-            AttemptOutcome::Error => self.servers[in_flight.server].record_error(),
+            AttemptOutcome::Error | AttemptOutcome::FalseRefusal => {
+                self.servers[in_flight.server].record_error()
+            }
             AttemptOutcome::NotRun => self.servers[in_flight.server].record_shed(),
             AttemptOutcome::WrongServer | AttemptOutcome::NotSent => {
                 let opened = outcome == AttemptOutcome::WrongServer;
@@ -224,6 +226,8 @@
             }
             return self.complete_if_decided(now, key, out);
         }
+        out.extend(running.keep_error(in_flight.shard, attempt, outcome).map(Output::Discard));
+        let progress = &mut running.shards[in_flight.shard];
         match outcome {
             AttemptOutcome::NotRun | AttemptOutcome::WrongServer => progress.possible_runs -= 1,
             AttemptOutcome::NotSent | AttemptOutcome::Withheld => {
@@ -234,13 +238,11 @@
                 progress.deliveries -= 1;
                 self.refund_rate(in_flight.server);
             }
-            AttemptOutcome::Error => {
-                out.extend(progress.error_response.replace(attempt).map(Output::Discard))
-            }
-            AttemptOutcome::ConnectionLost | AttemptOutcome::Lost | AttemptOutcome::Answered => {}
-        }
-        if outcome != AttemptOutcome::Error {
-            out.push(Output::Discard(attempt));
+            AttemptOutcome::Answered
+            | AttemptOutcome::ConnectionLost
+            | AttemptOutcome::Error
+            | AttemptOutcome::FalseRefusal
+            | AttemptOutcome::Lost => {}
         }
         let retried = self.retry_shard(now, key, in_flight.shard, out);
         out.push(Output::Log(Decision::AttemptFailed {
--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -197,7 +197,7 @@
         match event {
             GroupEvent::Started => self.confirm(group, out),
             GroupEvent::ShardResponses(report) => self.on_shard_responses(now, group, report, out),
-            GroupEvent::Forwarded { is_error } => self.on_forwarded(now, group, is_error, out),
+            GroupEvent::Forwarded { outcome } => self.on_forwarded(now, group, outcome, out),
             GroupEvent::Refused(refusal) => self.on_group_refused(now, group, refusal, out),
             GroupEvent::Declined => {
                 if let Some(peer) = self.groups.get(&group).map(|g| g.peer.clone()) {
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -211,8 +211,9 @@
     ShardResponses(GroupReport),
     /// The response of a server to a request for a single service arrived; the group has ended.
     Forwarded {
-        /// True if it is an error response of the server.
-        is_error: bool,
+        /// Result of the attempt: [`Answered`](AttemptOutcome::Answered) or a response of a server that
+        /// failed.
+        outcome: AttemptOutcome,
     },
     /// The other entry refused the group for this reason; nothing ran.
     Refused(Refusal),
@@ -252,6 +253,9 @@
     Answered,
     /// A complete error response of the server; the request ran.
     Error,
+    /// A complete error response whose status tells callers that the request has not run, without a
+    /// statement of the server that it did not; the request ran.
+    FalseRefusal,
     /// The server states that it did not run the request.
     NotRun,
     /// The address belongs to another server; the request did not run.
@@ -270,7 +274,12 @@
 impl AttemptOutcome {
     /// Returns true if the server at the address responded.
     pub fn is_response(self) -> bool {
-        matches!(self, Self::Answered | Self::Error | Self::NotRun | Self::WrongServer)
+        self.has_run() || matches!(self, Self::NotRun | Self::WrongServer)
+    }
+
+    /// Returns true if the server at the address ran the request and responded.
+    pub fn has_run(self) -> bool {
+        matches!(self, Self::Answered | Self::Error | Self::FalseRefusal)
     }
 
     /// Returns the label of the outcome in metrics and in the decision log.
@@ -278,6 +287,7 @@
         match self {
             Self::Answered => "answered",
             Self::Error => "error",
+            Self::FalseRefusal => "false refusal",
             Self::NotRun => "not run",
             Self::WrongServer => "wrong server",
             Self::NotSent => "not sent",
--- a/crates/hornbeam_route/src/engine/rates.rs
+++ b/crates/hornbeam_route/src/engine/rates.rs
@@ -40,10 +40,9 @@
         out: &mut Vec<Output>,
     ) {
         let server = &self.servers[in_flight.server];
-        let has_run = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Error);
         let rate = match rate {
             RateNotice::Stated(rate) => Some(rate),
-            RateNotice::Unstated if server.rate_limited && has_run => None,
+            RateNotice::Unstated if server.rate_limited && outcome.has_run() => None,
             RateNotice::Unstated => return,
             RateNotice::Unreadable => {
                 let (request, server) = (in_flight.id.clone(), server.id.clone());
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -13,7 +13,7 @@
 use hornbeam_model::{AttemptId, InstanceId, Mono, QueryId, Target};
 
 use super::admission::DEFAULT_RETRY_AFTER;
-use super::{Engine, Output, group_size};
+use super::{AttemptOutcome, Engine, Output, group_size};
 use crate::copy_hold::CopyVerdict;
 use crate::decision::Decision;
 use crate::region_rule::RegionRule;
@@ -235,7 +235,7 @@
         &mut self,
         now: Mono,
         group: AttemptId,
-        is_error: bool,
+        outcome: AttemptOutcome,
         out: &mut Vec<Output>,
     ) {
         let Some(delegated) = self.remove_group(group) else { return };
@@ -248,12 +248,12 @@
         if progress.status != ShardStatus::Open {
             return out.push(Output::Discard(group));
         }
-        if is_error {
-            progress.status = ShardStatus::Missing;
-            out.extend(progress.error_response.replace(group).map(Output::Discard));
-        } else {
+        if outcome == AttemptOutcome::Answered {
             progress.status = ShardStatus::Received(group);
             running.responses += 1;
+        } else {
+            progress.status = ShardStatus::Missing;
+            out.extend(running.keep_error(shard, group, outcome).map(Output::Discard));
         }
         self.complete_if_decided(now, key, out);
     }
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -12,6 +12,7 @@
 
 use crate::claim::Claim;
 use crate::copy_hold::CopyHold;
+use crate::engine::AttemptOutcome;
 use crate::notice::LeavingServer;
 use crate::region_rule::RegionRule;
 
@@ -316,6 +317,26 @@
         }
     }
 
+    /// Keeps the response of a failed attempt if it can be forwarded when no server succeeds; returns
+    /// the attempt whose response is not needed.
+    pub fn keep_error(
+        &mut self,
+        shard: usize,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+    ) -> Option<AttemptId> {
+        let forwards = match outcome {
+            AttemptOutcome::Error => true,
+            // A caller that is told that a request has not run sends it again.
+            AttemptOutcome::FalseRefusal => self.route.idempotent,
+            _ => false,
+        };
+        if !forwards {
+            return Some(attempt);
+        }
+        self.shards[shard].error_response.replace(attempt)
+    }
+
     /// Returns the maximum number of records in the merged response.
     pub fn limit(&self) -> usize {
         match &self.route.target {
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -800,7 +800,9 @@
                 self.send_message(to, entry, PeerMessage::GroupEvent(group, event));
             }
             Output::ForwardToOrigin { request, is_error, .. } => {
-                self.end_gathered(entry, request, GroupEvent::Forwarded { is_error });
+                let outcome =
+                    if is_error { AttemptOutcome::Error } else { AttemptOutcome::Answered };
+                self.end_gathered(entry, request, GroupEvent::Forwarded { outcome });
             }
             Output::RefuseGroup { request, refusal } => {
                 self.end_gathered(entry, request, GroupEvent::Refused(refusal));
