The limits in force apply to open connections

Connections accepted before the first table kept the default limit, and open ones the earlier idle time. Cause: the limits were read when a connection was accepted and passed to the HTTP library, which keeps them for as long as the connection lives. Change: the stream of a connection counts the bytes of each head against the limit in force, and the connection's timer uses the times in force. 431 is sent by the entry, logged and counted; it was neither before. Why it works: no limit is stored with a connection, so there is none that can be out of date.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
-use hornbeam_model::{AttemptId, CrashReport, Mono, QueryId, RateReport};
+use hornbeam_model::{AttemptId, CallerLimits, CrashReport, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{Attempt, Completion, Engine, Input, Output, Refusal, merge_records};
@@ -88,6 +88,8 @@
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
     next_key: Cell<u64>,
     isolation: Cell<Isolation>,
+    /// Limits of the table in force, or the default ones; they apply to open connections as well.
+    pub(crate) caller_limits: Rc<Cell<CallerLimits>>,
     /// Wakes the timer task when the engine's next wake is earlier than before.
     timer: Notify,
 }
@@ -120,6 +122,7 @@
             attempts: RefCell::default(),
             next_key: Cell::new(1),
             isolation: Cell::default(),
+            caller_limits: Rc::default(),
             timer: Notify::new(),
         })
     }
@@ -248,6 +251,9 @@
         let mut out = Vec::new();
         let before = self.with_engine(Engine::next_wake);
         self.engine.borrow_mut().step(self.clock.now(), input, &mut out);
+        if let Some(limits) = self.with_engine(|e| e.table().map(|t| t.limits)) {
+            self.caller_limits.set(limits);
+        }
         let mut cancelled = Vec::new();
         for output in out {
             match output {
--- a/crates/hornbeam_entry/src/decision_log.rs
+++ b/crates/hornbeam_entry/src/decision_log.rs
@@ -1,10 +1,21 @@
 //! Writes the engine's decisions to the log and counts them.
 
 use hornbeam_route::Decision;
+use serde_json::json;
 
 use crate::core::Core;
 
 impl Core {
+    /// Logs and counts a request that was refused because its head is longer than the limit in force.
+    pub(crate) fn record_refused_head(&self) {
+        self.metrics.refusals.with_label_values(&["HeadTooLong"]).inc();
+        let table = self.with_engine(|e| e.table().map(|t| t.version));
+        let limit_bytes = self.caller_limits.get().max_header_bytes;
+        let fields =
+            json!({"decision": "head_refused", "limit_bytes": limit_bytes, "table": table});
+        self.log.write("head_refused", true, &fields);
+    }
+
     pub(crate) fn record_decision(&self, decision: &Decision) {
         let kind = match decision {
             Decision::Admitted { .. } => "admitted",
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -2,7 +2,10 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,8 +23,10 @@
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::backends::{end_to_end, request_head};
+use crate::caller_stream::{CallerStream, MAX_HEAD_BYTES, RequestHead};
 use crate::core::{Core, ForwardedRequest, ReceivedRequest, Reply};
 use crate::team_fields;
 
@@ -29,8 +34,6 @@
 const MAX_CONNECTIONS: usize = 3_000;
 /// Longest time in which a request body has to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Smallest read buffer that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
 
 /// Lifecycle stage of the entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -78,38 +81,72 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let limits = core.with_engine(|e| e.table().map(|t| t.limits.clone())).unwrap_or_default();
-    let header_read_timeout = Duration::from_millis(u64::from(limits.idle_timeout_ms))
-        + Duration::from_millis(u64::from(limits.header_timeout_ms));
+    let head = Rc::new(RequestHead::new(core.caller_limits.clone()));
     let current_stage = stage.clone();
+    let current_head = head.clone();
     let is_first = Cell::new(true);
+    let serving_core = core.clone();
     let service = service_fn(move |req| {
         let (core, stage, opened) =
-            (core.clone(), *current_stage.borrow(), is_first.replace(false));
-        async move { Ok::<_, Infallible>(handle_request(core, req, opened, stage).await) }
+            (serving_core.clone(), *current_stage.borrow(), is_first.replace(false));
+        let head = current_head.clone();
+        head.complete();
+        async move {
+            let (response, read_whole) = handle_request(core, req, opened, stage).await;
+            head.await_next(read_whole);
+            Ok::<_, Infallible>(response)
+        }
     });
-    let connection = http1::Builder::new()
+    // The limits on heads are those of the stream, which may change.
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(header_read_timeout)
-        .max_buf_size((limits.max_header_bytes as usize).max(MIN_BUFFER_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BYTES)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, head.clone())), service);
+    let mut head_timeout = std::pin::pin!(tokio::time::sleep_until(head.deadline()));
+    let mut closing = false;
     loop {
-        tokio::select! {
+        let progress = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
             // An error means that the caller violated the protocol or disconnected.
-            _ = connection.as_mut() => return,
-            changed = stage.changed() => {
+            Poll::Ready(_) => Poll::Ready(ConnectionEnd::Closed),
+            Poll::Pending if head.is_too_long() => Poll::Ready(ConnectionEnd::HeadTooLong),
+            Poll::Pending => Poll::Pending,
+        });
+        tokio::select! {
+            end = progress => {
+                if end == ConnectionEnd::HeadTooLong {
+                    core.record_refused_head();
+                    // The caller may have disconnected.
+                    let _ = connection.into_parts().io.into_inner().refuse_head().await;
+                }
+                return;
+            }
+            changed = stage.changed(), if !closing => {
                 if changed.is_err() || *stage.borrow() == Stage::Closing {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.as_mut().await;
+                    Pin::new(&mut connection).graceful_shutdown();
+                    closing = true;
+                }
+            }
+            () = head_timeout.as_mut() => {
+                let deadline = head.deadline();
+                if deadline <= Instant::now() {
                     return;
                 }
+                head_timeout.as_mut().reset(deadline);
             }
         }
     }
 }
 
+/// Why a connection is served no longer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ConnectionEnd {
+    Closed,
+    /// The caller is not answered yet.
+    HeadTooLong,
+}
+
 /// Informs the core on drop; the core ignores it if the caller already has its reply.
 struct CallerGuard {
     core: Rc<Core>,
@@ -122,13 +159,16 @@
     }
 }
 
+/// Handles a request; returns its response and whether the request was read to its end.
 async fn handle_request(
     core: Rc<Core>,
     req: Request<Incoming>,
     opened_connection: bool,
     stage: Stage,
-) -> Response<Full<Bytes>> {
-    let mut response = match read_request(&core, req, opened_connection).await {
+) -> (Response<Full<Bytes>>, bool) {
+    let received = read_request(&core, req, opened_connection).await;
+    let read_whole = received.is_ok();
+    let mut response = match received {
         Ok(received) => {
             let (key, rx) = core.start_request(received);
             let guard = CallerGuard { core: core.clone(), key };
@@ -148,7 +188,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
+    (response, read_whole)
 }
 
 /// Reads a complete request, or returns the response that reports the error in it.
@@ -183,10 +223,8 @@
             }
         },
     };
-    let max_body = core.with_engine(|e| e.table().map(|t| t.limits.max_body_bytes));
-    let max_body =
-        max_body.unwrap_or_else(|| hornbeam_model::CallerLimits::default().max_body_bytes);
-    let body = read_body(body, max_body as usize).await?;
+    let max_body = core.caller_limits.get().max_body_bytes as usize;
+    let body = read_body(body, max_body).await?;
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let path = SmolStr::new(head.uri.path());
     let target = target.to_owned();
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
+mod caller_stream;
 pub mod contact;
 pub mod core;
 mod decision_log;
--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -169,7 +169,7 @@
 }
 
 /// Limits on the connections and requests of callers.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Maximum length of a request head, in bytes.
     pub max_header_bytes: u32,
@@ -276,7 +276,7 @@
             removed: old.keys().filter(|p| !kept.contains(*p)).cloned().collect(),
             routes: changed.cloned().collect(),
             services: (base.services != self.services).then(|| self.services.clone()),
-            limits: self.limits.clone(),
+            limits: self.limits,
         }
     }
 
@@ -298,7 +298,7 @@
             version: delta.version,
             routes: routes.into_values().collect(),
             services: delta.services.clone().unwrap_or_else(|| self.services.clone()),
-            limits: delta.limits.clone(),
+            limits: delta.limits,
             document: Vec::new(),
             policy: self.policy.clone(),
         })
