An entry that shuts down refuses what it cannot finish

Cause: the end of all requests was a single step 0.8 s before the end of the grace period; admission did not know of it and took what was read afterwards. Evidence: entry/late_requests after_stop and read_after_stop fail before the change: a request read after Stop is answered 200 by a server, with 0.3 s left for any work. Change: the engine is told at SIGTERM when it will end all requests. It refuses at once, as not run, a request whose response would be due later, and everything once it has ended them; a request that is still being read then gets the same 503. A response after SIGTERM closes its connection also if the request arrived before. Why it works: every request that is admitted is in the engine when all are ended, and what is read later is answered without a server.

--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -36,7 +36,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Lifecycle stage of the entry.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stage {
     /// Accepts requests.
     Serving,
@@ -44,6 +44,8 @@
     Draining,
     /// Accepts no connections and closes idle ones; requests in flight complete.
     Closing,
+    /// Refuses the requests that are still being read; all others have their responses.
+    Stopped,
 }
 
 /// Accepts caller connections until [`Stage::Closing`]; `open` counts the connections in progress.
@@ -56,7 +58,7 @@
     loop {
         let stream = tokio::select! {
             stream = next_connection(&listener) => stream,
-            closing = stage.wait_for(|s| *s == Stage::Closing) => {
+            closing = stage.wait_for(|s| *s >= Stage::Closing) => {
                 drop(closing);
                 return;
             }
@@ -88,7 +90,7 @@
     let serving_core = core.clone();
     let service = service_fn(move |req| {
         let (core, stage, opened) =
-            (serving_core.clone(), *current_stage.borrow(), is_first.replace(false));
+            (serving_core.clone(), current_stage.clone(), is_first.replace(false));
         let head = current_head.clone();
         head.complete();
         async move {
@@ -123,7 +125,7 @@
                 return;
             }
             changed = stage.changed(), if !closing => {
-                if changed.is_err() || *stage.borrow() == Stage::Closing {
+                if changed.is_err() || *stage.borrow() >= Stage::Closing {
                     Pin::new(&mut connection).graceful_shutdown();
                     closing = true;
                 }
@@ -164,9 +166,13 @@
     core: Rc<Core>,
     req: Request<Incoming>,
     opened_connection: bool,
-    stage: Stage,
+    mut stage: watch::Receiver<Stage>,
 ) -> (Response<Full<Bytes>>, bool) {
-    let received = read_request(&core, req, opened_connection).await;
+    let received = tokio::select! {
+        biased;
+        received = read_request(&core, req, opened_connection) => received,
+        _ = stage.wait_for(|s| *s == Stage::Stopped) => Err(refuse_unread()),
+    };
     let read_whole = received.is_ok();
     let mut response = match received {
         Ok(received) => {
@@ -184,7 +190,7 @@
         }
         Err(response) => response,
     };
-    if stage != Stage::Serving || core.is_isolated() {
+    if *stage.borrow() != Stage::Serving || core.is_isolated() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -328,6 +334,9 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "backend servers have ended while they ran this request: it is not sent to others",
         ),
+        RefusalKind::Draining => {
+            (StatusCode::SERVICE_UNAVAILABLE, "this entry is shutting down: retry at another entry")
+        }
         RefusalKind::Failed => (
             StatusCode::BAD_GATEWAY,
             "the backend servers failed; the request may have been executed",
@@ -351,6 +360,12 @@
     response
 }
 
+/// Refuses a request that is still being read when the entry stops.
+fn refuse_unread() -> Response<Full<Bytes>> {
+    let refusal = Refusal { kind: RefusalKind::Draining, retry_after: Some(Duration::ZERO) };
+    refusal_response(refusal)
+}
+
 /// Returns a response after which the connection closes, because the request was not read to its
 /// end.
 fn closing_response(status: StatusCode, problem: &'static str) -> Response<Full<Bytes>> {
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -287,6 +287,8 @@
 async fn drain(core: &Rc<Core>, open: &Cell<usize>, stage: &watch::Sender<Stage>, grace: Duration) {
     stage.send_replace(Stage::Draining);
     let started_at = tokio::time::Instant::now();
+    let stops_after = grace.saturating_sub(FINAL_RESPONSE_MARGIN);
+    core.step(Input::StopAt(core.clock.now() + stops_after));
     tokio::time::sleep(grace * ACCEPT_PERCENT / 100).await;
     stage.send_replace(Stage::Closing);
     let in_flight = || open.get() + core.group_exchange.gathering_count() > 0;
@@ -295,8 +297,9 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
-    wait_until(started_at + grace.saturating_sub(FINAL_RESPONSE_MARGIN)).await;
+    wait_until(started_at + stops_after).await;
     core.step(Input::Stop);
+    stage.send_replace(Stage::Stopped);
     wait_until(started_at + grace.saturating_sub(EXIT_MARGIN)).await;
     // Leaves time for the last responses to be written to the sockets.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/hornbeam_route/src/engine/admission.rs
+++ b/crates/hornbeam_route/src/engine/admission.rs
@@ -81,6 +81,10 @@
 
 impl Engine {
     pub(super) fn on_request(&mut self, now: Mono, mut arrival: Arrival, out: &mut Vec<Output>) {
+        if self.has_stopped(now) {
+            let kind = RefusalKind::Draining;
+            return self.refuse_on_arrival(now, arrival, None, kind, None, out);
+        }
         let Some(table) = self.table.clone() else {
             return self.await_table(now, arrival, out);
         };
@@ -96,6 +100,14 @@
                 return self.refuse_on_arrival(now, arrival, Some(&route), kind, None, out);
             }
         }
+        let timeout = route.timeout();
+        let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
+        let answer_by =
+            answer_by(arrival.arrived, route.objective().min(patience), arrival.opened_connection);
+        if self.stops_before(answer_by) {
+            let kind = RefusalKind::Draining;
+            return self.refuse_on_arrival(now, arrival, Some(&route), kind, None, out);
+        }
         if let Some(team) = &arrival.team {
             arrival.fingerprint = arrival.fingerprint.of_team(team);
         }
@@ -141,10 +153,6 @@
             return self.refuse_on_arrival(now, arrival, Some(&route), kind, wait, out);
         }
         self.state_team(&table, &arrival, out);
-        let timeout = route.timeout();
-        let patience = arrival.patience.map_or(timeout, |p| p.min(timeout));
-        let answer_by =
-            answer_by(arrival.arrived, route.objective().min(patience), arrival.opened_connection);
         let mut running = RunningRequest {
             table: table.version,
             arrived: arrival.arrived,
@@ -318,9 +326,10 @@
         if !kind.has_not_run() || matches!(kind, RefusalKind::NoRoute | RefusalKind::UnknownKey) {
             return None;
         }
-        // An isolated entry closes the connection, and other entries serve the caller at once, unless its
-        // team has used up its quota.
-        let elsewhere = self.isolated && kind != RefusalKind::OverQuota;
+        // An entry that is isolated or shutting down closes the connection, and other entries serve the
+        // caller at once, unless its team has used up its quota.
+        let closes = self.isolated || kind == RefusalKind::Draining;
+        let elsewhere = closes && kind != RefusalKind::OverQuota;
         let wait = if elsewhere { None } else { Some(wait.unwrap_or(DEFAULT_RETRY_AFTER)) };
         let wait = wait.unwrap_or_default().max(MIN_RETRY_AFTER);
         let spread = self.rng.random_range(0.0..RETRY_AFTER_JITTER_PERCENT);
--- a/crates/hornbeam_route/src/engine/completion.rs
+++ b/crates/hornbeam_route/src/engine/completion.rs
@@ -52,18 +52,6 @@
         !self.requests.contains_key(&key)
     }
 
-    /// Ends all requests, with the shard responses received if they suffice or else with a refusal.
-    pub(super) fn stop(&mut self, now: Mono, out: &mut Vec<Output>) {
-        for key in self.awaiting_table.keys().copied().collect::<Vec<_>>() {
-            self.refuse_without_table(now, key, out);
-        }
-        let mut keys: Vec<QueryId> = self.requests.keys().copied().collect();
-        keys.sort_unstable();
-        for key in keys {
-            self.end_request(now, key, RefusalKind::Stopping, out);
-        }
-    }
-
     /// Ends a request now: with the shard responses received if they suffice, with `reason` if the
     /// request may have run, and as overloaded otherwise.
     pub(super) fn end_request(
--- a/crates/hornbeam_route/src/engine/gathering.rs
+++ b/crates/hornbeam_route/src/engine/gathering.rs
@@ -50,7 +50,7 @@
             Target::Split(_) => return out.push(Output::DeclineGroup(group.key)),
         };
         let is_full = self.requests.len() >= self.params.max_in_flight;
-        if is_full || self.table.is_none() || self.is_detached() {
+        if is_full || self.table.is_none() || self.is_detached() || self.has_stopped(now) {
             return out.push(Output::DeclineGroup(group.key));
         }
         let services: Vec<usize> = names.iter().map(|name| self.service_position(name)).collect();
--- a/crates/hornbeam_route/src/engine/messages.rs
+++ b/crates/hornbeam_route/src/engine/messages.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use hornbeam_model::{
-    AttemptId, CrashReport, Fingerprint, FleetUsage, Incarnation, InstanceId, KeyDigest, QueryId,
-    RateReport, RequestRate, Route, Routing, ServerId, ServiceId, TeamId, Zone, ZoneOrders,
+    AttemptId, CrashReport, Fingerprint, FleetUsage, Incarnation, InstanceId, KeyDigest, Mono,
+    QueryId, RateReport, RequestRate, Route, Routing, ServerId, ServiceId, TeamId, Zone,
+    ZoneOrders,
 };
 use smol_str::SmolStr;
 
@@ -183,6 +184,9 @@
     GatherCancelled(QueryId),
     /// The process is stopping: every request gets its final response now.
     Stop,
+    /// This entry ends all its requests at this time. Requests whose response would be due later are
+    /// refused from now on.
+    StopAt(Mono),
     /// Time has passed; timers that are due run with every input.
     Tick,
 }
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -10,6 +10,7 @@
 //! - [`hedging`]: hedged requests for late shards
 //! - [`crashes`]: requests that end the servers that run them
 //! - [`detachment`]: an entry that reaches no server
+//! - [`draining`]: requests that arrive at an entry that is shutting down
 //! - [`completion`]: responses and refusals
 //! - [`delegation`]: shard groups delegated to other entries
 //! - [`relaying`]: shards and requests that only other entries can reach
@@ -33,6 +34,7 @@
 mod crashes;
 mod delegation;
 mod detachment;
+mod draining;
 mod fairness;
 mod gathering;
 mod hedging;
@@ -173,6 +175,8 @@
     next_probed: usize,
     /// True while this entry is isolated and other entries serve callers better.
     isolated: bool,
+    /// When this entry ends all its requests; `None` until it is shutting down.
+    stops_at: Option<Mono>,
     /// Requests that wait for a routing table, in the order of their arrival.
     awaiting_table: IndexMap<QueryId, admission::Arrival>,
     /// Positions in `servers` that can be reused.
@@ -230,6 +234,7 @@
             next_server_probe: Mono::default(),
             next_probed: 0,
             isolated: false,
+            stops_at: None,
             awaiting_table: IndexMap::new(),
             free_positions: Vec::new(),
             entries: ASSUMED_ENTRY_COUNT,
@@ -325,6 +330,7 @@
             Input::GatherConfirmed(key) => self.on_gather_confirmed(now, key, out),
             Input::GatherCancelled(key) => self.on_gather_cancelled(now, key, out),
             Input::Stop => self.stop(now, out),
+            Input::StopAt(at) => self.stops_at = Some(at),
             Input::Tick => {}
         }
         self.run_timers(now, out);
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -41,6 +41,8 @@
     Overloaded,
     /// Servers have ended under the same request before; it has not run this time.
     Quarantined,
+    /// The entry is shutting down and could not finish it; the request has not run.
+    Draining,
     /// Servers failed; the request may have run.
     Failed,
     /// The deadline has passed; the request may have run.
@@ -62,6 +64,7 @@
                 | Self::NoServer
                 | Self::Overloaded
                 | Self::Quarantined
+                | Self::Draining
         )
     }
 }
--- a/crates/hornbeamctl/src/explain.rs
+++ b/crates/hornbeamctl/src/explain.rs
@@ -172,6 +172,9 @@
                 "servers have ended while they ran the same request before; it has not run"
                     .to_owned()
             }
+            "draining" => {
+                "the entry was shutting down and could not finish it; it has not run".to_owned()
+            }
             "no_table" => "the entry had no routing table yet; it has not run".to_owned(),
             "no_route" => "no route of the table in force matches it; it has not run".to_owned(),
             "timed_out" => format!("no response came within {took} ms; it may have run"),
