--- a/crates/hornbeam_storage/src/folder.rs
+++ b/crates/hornbeam_storage/src/folder.rs
@@ -227,7 +227,7 @@
         self.files().writes_until_crash = Some(writes);
     }
 
-    /// Sets whether writes fail as on a full disk.
+    /// Sets whether writes fail as on a full disk, where an append leaves the first half of its bytes.
     pub fn set_full(&self, full: bool) {
         self.files().full = full;
     }
@@ -257,10 +257,15 @@
 
     fn append(&self, name: &str, data: &[u8]) -> io::Result<()> {
         let mut files = self.files();
-        let completes = files.begin_write()?;
-        let written = if completes { data } else { &data[..data.len() / 2] };
+        let begun = match files.begin_write() {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(crash_error()),
+            Err(e) if e.kind() == io::ErrorKind::StorageFull => Err(e),
+            Err(e) => return Err(e),
+        };
+        let written = if begun.is_ok() { data } else { &data[..data.len() / 2] };
         files.contents.entry(name.to_owned()).or_default().extend_from_slice(written);
-        if completes { Ok(()) } else { Err(crash_error()) }
+        begun
     }
 
     fn truncate(&self, name: &str, length: usize) -> io::Result<()> {
