Controllers save again what a full disk refused

What callers could see: after a restart of all programs, requests go to a server that had left while the disks of its controllers were full, or a request that ends its servers is sent again. Cause: the thread that saves known servers and crashed runs dropped a value whose write failed; nothing was written until something else changed. Evidence: controller/saved_state saved_once_there_is_room fails before the change (nothing is written in 5 s). Change: the value stays until it is written or replaced, and is tried again each second. Why it works: the latest value is the only one that counts, and no other thread waits for it.

--- a/crates/hornbeam_controller/src/lib.rs
+++ b/crates/hornbeam_controller/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`feed`]: connections on which entries receive servers and routing tables
 //! - [`order_rules`]: whether an order about a zone may be proposed
 //! - [`state`]: the loop that holds all state
+//! - [`state_file`]: state that is saved each time it changes
 //! - [`tables`]: recent routing tables, from which deltas are computed
 //! - [`metrics`]: Prometheus metrics
 //! - [`run`](mod@run): startup and shutdown
@@ -19,7 +20,7 @@
 pub mod order_rules;
 pub mod run;
 pub mod state;
-mod state_file;
+pub mod state_file;
 pub mod tables;
 
 pub use dialect::{Call, Dialect};
--- a/crates/hornbeam_controller/src/state_file.rs
+++ b/crates/hornbeam_controller/src/state_file.rs
@@ -3,13 +3,17 @@
 
 use std::io;
 use std::path::Path;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::Duration;
 
 use hornbeam_discovery::{SavedCrashes, SavedServers};
 use hornbeam_storage::{Folder, document};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Interval of the attempts to write a value after one has failed.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Where a [`StateFile`] is kept. Each has a folder of its own within the data folder, which is
 /// locked while it is open.
 #[derive(Clone, Copy, Debug)]
@@ -64,12 +68,26 @@
     }
 }
 
-/// Writes the latest value received, and skips those that arrived during a write.
+/// Writes the latest value received, and skips those that arrived during a write. A value that cannot
+/// be written is tried again until it can or a later one arrives.
 fn write_latest<T: Serialize>(folder: &Folder, location: StateLocation, rx: &Receiver<T>) {
-    while let Ok(value) = rx.recv() {
-        let latest = rx.try_iter().last().unwrap_or(value);
-        if let Err(e) = document::write(folder, location.file, &latest) {
-            log::warn!("the known {} cannot be saved ({e}): check the disk", location.folder);
+    let mut unsaved: Option<T> = None;
+    loop {
+        let received = match &unsaved {
+            Some(_) => rx.recv_timeout(RETRY_INTERVAL),
+            None => rx.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        match received {
+            Ok(value) => unsaved = Some(rx.try_iter().last().unwrap_or(value)),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let Some(value) = &unsaved else { continue };
+        match document::write(folder, location.file, value) {
+            Ok(()) => unsaved = None,
+            Err(e) => {
+                log::warn!("the known {} cannot be saved ({e}): check the disk", location.folder);
+            }
         }
     }
 }
