An entry without a table refuses nothing by default limits

What callers saw: at an entry that had just started, a request within the limits of the table in force got a final 431 or 413, because it was longer than the defaults. Cause: without a table, the default limits counted as limits of the table. Change: without a table, a head of up to 1 MiB waits for the table, and a body over the default length gets 503. Why it works: a final refusal needs a table that states it.

--- a/crates/hornbeam_entry/src/caller_stream.rs
+++ b/crates/hornbeam_entry/src/caller_stream.rs
@@ -30,8 +30,8 @@
 /// The request head that a connection waits for or reads, shared by its stream and its requests.
 #[derive(Debug)]
 pub struct RequestHead {
-    /// Limits of the table in force.
-    limits: Rc<Cell<CallerLimits>>,
+    /// Limits of the table in force; `None` before the first.
+    limits: Rc<Cell<Option<CallerLimits>>>,
     /// Bytes read since the connection began to wait; `None` while bytes of a request body may arrive.
     bytes: Cell<Option<usize>>,
     /// When the connection began to wait; `None` while a request is in flight.
@@ -42,7 +42,7 @@
 
 impl RequestHead {
     /// Creates the state of a connection that waits for its first request.
-    pub fn new(limits: Rc<Cell<CallerLimits>>) -> Self {
+    pub fn new(limits: Rc<Cell<Option<CallerLimits>>>) -> Self {
         Self {
             limits,
             bytes: Cell::new(Some(0)),
@@ -72,7 +72,7 @@
     /// Returns the time by which the head has to be complete. While a request is in flight, it is the
     /// time for a request that would end now.
     pub fn deadline(&self) -> Instant {
-        let limits = self.limits.get();
+        let limits = self.limits.get().unwrap_or_default();
         let time = |ms| Duration::from_millis(u64::from(ms));
         let since = self.waiting_since.get().unwrap_or_else(Instant::now);
         since + time(limits.idle_timeout_ms) + time(limits.header_timeout_ms)
@@ -81,7 +81,8 @@
     /// Returns how many more bytes may be read; zero if the head is longer than the limit.
     fn room(&self) -> usize {
         let Some(bytes) = self.bytes.get() else { return READ_BYTES };
-        let limit = self.limits.get().max_header_bytes as usize;
+        // The first table may allow any head.
+        let limit = self.limits.get().map_or(MAX_HEAD_BYTES, |l| l.max_header_bytes as usize);
         limit.clamp(MIN_HEAD_LIMIT_BYTES, MAX_HEAD_BYTES).saturating_sub(bytes).min(READ_BYTES)
     }
 
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -88,8 +88,8 @@
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
     next_key: Cell<u64>,
     isolation: Cell<Isolation>,
-    /// Limits of the table in force, or the default ones; they apply to open connections as well.
-    pub(crate) caller_limits: Rc<Cell<CallerLimits>>,
+    /// Limits of the table in force, which apply to open connections as well; `None` before the first.
+    pub(crate) caller_limits: Rc<Cell<Option<CallerLimits>>>,
     /// Wakes the timer task when the engine's next wake is earlier than before.
     timer: Notify,
 }
@@ -251,9 +251,7 @@
         let mut out = Vec::new();
         let before = self.with_engine(Engine::next_wake);
         self.engine.borrow_mut().step(self.clock.now(), input, &mut out);
-        if let Some(limits) = self.with_engine(|e| e.table().map(|t| t.limits)) {
-            self.caller_limits.set(limits);
-        }
+        self.caller_limits.set(self.with_engine(|e| e.table().map(|t| t.limits)));
         let mut cancelled = Vec::new();
         for output in out {
             match output {
--- a/crates/hornbeam_entry/src/decision_log.rs
+++ b/crates/hornbeam_entry/src/decision_log.rs
@@ -10,7 +10,7 @@
     pub(crate) fn record_refused_head(&self) {
         self.metrics.refusals.with_label_values(&["HeadTooLong"]).inc();
         let table = self.with_engine(|e| e.table().map(|t| t.version));
-        let limit_bytes = self.caller_limits.get().max_header_bytes;
+        let limit_bytes = self.caller_limits.get().map(|l| l.max_header_bytes);
         let fields =
             json!({"decision": "head_refused", "limit_bytes": limit_bytes, "table": table});
         self.log.write("head_refused", true, &fields);
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -9,8 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeam_model::Fingerprint;
-use hornbeam_model::QueryId;
+use hornbeam_model::{CallerLimits, Fingerprint, QueryId};
 use hornbeam_node::program::next_connection;
 use hornbeam_route::{Refusal, RefusalKind};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -171,7 +170,7 @@
     let received = tokio::select! {
         biased;
         received = read_request(&core, req, opened_connection) => received,
-        _ = stage.wait_for(|s| *s == Stage::Stopped) => Err(refuse_unread()),
+        _ = stage.wait_for(|s| *s == Stage::Stopped) => Err(refuse_unread(RefusalKind::Draining)),
     };
     let read_whole = received.is_ok();
     let mut response = match received {
@@ -229,8 +228,7 @@
             }
         },
     };
-    let max_body = core.caller_limits.get().max_body_bytes as usize;
-    let body = read_body(body, max_body).await?;
+    let body = read_body(body, core.caller_limits.get()).await?;
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let path = SmolStr::new(head.uri.path());
     let target = target.to_owned();
@@ -256,15 +254,22 @@
     })
 }
 
-async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Response<Full<Bytes>>> {
+/// Reads a request body within the limits of the table in force, if there is one.
+async fn read_body(
+    body: Incoming,
+    limits: Option<CallerLimits>,
+) -> Result<Bytes, Response<Full<Bytes>>> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let too_large = || {
-        closing_response(
+    let max = limits.unwrap_or_default().max_body_bytes as usize;
+    let too_large = || match limits {
+        Some(_) => closing_response(
             StatusCode::PAYLOAD_TOO_LARGE,
             "the request body is longer than the limit of this entry: shorten it",
-        )
+        ),
+        // The first table may allow it.
+        None => refuse_unread(RefusalKind::NoTable),
     };
     if body.size_hint().lower() > max as u64 {
         return Err(too_large());
@@ -360,10 +365,11 @@
     response
 }
 
-/// Refuses a request that is still being read when the entry stops.
-fn refuse_unread() -> Response<Full<Bytes>> {
-    let refusal = Refusal { kind: RefusalKind::Draining, retry_after: Some(Duration::ZERO) };
-    refusal_response(refusal)
+/// Refuses a request that was not read to its end; another entry may serve it at once.
+fn refuse_unread(kind: RefusalKind) -> Response<Full<Bytes>> {
+    let mut response = refusal_response(Refusal { kind, retry_after: Some(Duration::ZERO) });
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
 }
 
 /// Returns a response after which the connection closes, because the request was not read to its
--- a/crates/hornbeam_entry/tests/caller_limits.rs
+++ b/crates/hornbeam_entry/tests/caller_limits.rs
@@ -180,3 +180,32 @@
         assert!(stream.read_u8().await.is_err(), "the connection is closed");
     });
 }
+
+#[test]
+fn waits_for_first_table() {
+    run_local(async {
+        let core = serving_core().await;
+        let mut stream = connect(&core).await;
+        let other = core.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            put_in_force(&other, 1, limits(64 << 10));
+        });
+        assert_eq!(send(&mut stream, "r1", 20 << 10).await, 200, "its limit was not known");
+    });
+}
+
+#[test]
+fn long_body_without_table() {
+    run_local(async {
+        let core = serving_core().await;
+        let mut stream = connect(&core).await;
+        let length = CallerLimits::default().max_body_bytes + 1;
+        let head = format!(
+            "POST /lookup/1 HTTP/1.1\r\nhost: plots.example\r\nhornbeam-request-id: r1\r\n\
+             content-length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        assert_eq!(read_status(&mut stream).await, 503, "the first table may allow it");
+    });
+}
