A long keep-alive timeout of a server no longer panics

What callers saw: the response of a server that states a keep-alive timeout of 2^63 seconds or more was lost; the caller got 504 at its deadline, and a request that may run once kept its place at the server (seen on the way in the review). Cause: the present time plus the stated timeout overflows, which panics and ends the task of the attempt. Change: an idle connection is reused for an hour at most. Why it works: the sum is bounded whatever a server states.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -29,6 +29,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which an idle connection can be reused if the server states no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(50);
+/// Longest time for which an idle connection can be reused, whatever the server states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Longest time to open a connection that only shows whether a server is reachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which such a connection has to stay open.
@@ -385,7 +387,8 @@
     let timeout =
         keep_alive.and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")));
     let stated = timeout.and_then(|t| t.trim().parse().ok()).map(Duration::from_secs);
-    Some(stated.map_or(DEFAULT_IDLE_TIMEOUT, |s| s.saturating_sub(IDLE_MARGIN)))
+    let usable = stated.map_or(DEFAULT_IDLE_TIMEOUT, |s| s.saturating_sub(IDLE_MARGIN));
+    Some(usable.min(MAX_IDLE_TIMEOUT))
 }
 
 /// Returns the header fields to forward: without hop-by-hop fields, `expect`, and `content-length`,
