Soak: servers that refuse falsely, and a limit raised under open connections

Change: two kinds of faults with a generator of their own, so that the other faults of a seed stay as they are. A 408 or 421 for a request that ran is a violation too, and so is a 431 within the limit in force once faults have been over for 5 s.

--- a/crates/hornbeam_soak/src/caller.rs
+++ b/crates/hornbeam_soak/src/caller.rs
@@ -60,12 +60,19 @@
     ledger: Ledger,
     name: String,
     next_request: u64,
+    /// Value of a header field that makes request heads longer; empty for none.
+    filler: String,
 }
 
 impl Caller {
     /// Creates a caller of one entry; request ids start with `name`.
     pub fn new(name: String, entry: SocketAddr, ledger: Ledger) -> Self {
-        Self { entry, connection: None, ledger, name, next_request: 0 }
+        Self { entry, connection: None, ledger, name, next_request: 0, filler: String::new() }
+    }
+
+    /// Makes the heads of later requests longer by this number of bytes.
+    pub fn lengthen_heads(&mut self, bytes: usize) {
+        self.filler = "7".repeat(bytes);
     }
 
     /// Closes the connection, so that the next request opens a new one.
@@ -115,9 +122,12 @@
             Some(sender) => sender,
             None => open(self.entry).await?,
         };
-        let request = Request::builder()
-            .method(if idempotent { "GET" } else { "POST" })
-            .uri(path)
+        let mut request =
+            Request::builder().method(if idempotent { "GET" } else { "POST" }).uri(path);
+        if !self.filler.is_empty() {
+            request = request.header("x-filler", &self.filler);
+        }
+        let request = request
             .header("host", HOST)
             .header("hornbeam-request-id", id)
             .header("hornbeam-deadline-ms", "3000")
--- a/crates/hornbeam_soak/src/ledger.rs
+++ b/crates/hornbeam_soak/src/ledger.rs
@@ -223,7 +223,7 @@
             if !ended.idempotent && runs.len() > 1 {
                 violations.push(format!("{id} ran {} times: {runs:?}", runs.len()));
             }
-            let refused_as_not_run = matches!(status, Some(429 | 503));
+            let refused_as_not_run = matches!(status, Some(408 | 421 | 429 | 503));
             if refused_as_not_run && !ended.idempotent && !runs.is_empty() {
                 violations.push(format!("{id} was refused with {status:?} and ran: {runs:?}"));
             }
@@ -236,6 +236,10 @@
             }
             let slack = Duration::from_millis(500);
             let end = ended.sent + ended.took;
+            let is_long_head = status == Some(431);
+            if is_long_head && inner.is_fault_free(ended.sent, end) {
+                violations.push(format!("{id} was refused with 431 within the limit in force"));
+            }
             if ended.took > timeout + slack && inner.is_fault_free(ended.sent, end) {
                 violations.push(format!("{id} ended after {:?}", ended.took));
             }
--- a/crates/hornbeam_soak/src/plan.rs
+++ b/crates/hornbeam_soak/src/plan.rs
@@ -86,6 +86,8 @@
     Replace(usize),
     /// Sends this number of routing tables one after the other, each to another controller first.
     Tables(usize),
+    /// Raises the limit on request heads; callers then send long heads on the connections that they have.
+    RaiseLimit,
 }
 
 impl Fault {
@@ -138,6 +140,24 @@
         }
         at += Duration::from_millis(rng.random_range(50..900));
     }
+    plan.extend(draw_protocol_faults(seed, sizes, length));
+    plan.sort_by_key(|(at, _)| *at);
+    plan
+}
+
+/// Draws a raised limit and servers that state falsely that they have not run requests. They have a
+/// generator of their own, so that the other faults of a seed stay as they are.
+fn draw_protocol_faults(seed: u64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    // Late, so that connections from before are still open when callers use the raised limit.
+    let mut plan = vec![(length.mul_f64(rng.random_range(0.8..1.0)), Fault::RaiseLimit)];
+    let mut at = Duration::from_millis(rng.random_range(300..2_000));
+    while at < length {
+        let which = rng.random_range(0..sizes.servers);
+        let time = Duration::from_millis(rng.random_range(300..2_000));
+        plan.push((at, Fault::Server { which, fault: RoutedFault::FalseRefusal, time }));
+        at += Duration::from_millis(rng.random_range(500..3_000));
+    }
     plan
 }
 
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -3,10 +3,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use hornbeam_model::{Route, RoutedService, Routing, Scatter, ServiceId, TableVersion, Target};
+use hornbeam_model::{
+    CallerLimits, Route, RoutedService, Routing, Scatter, ServiceId, TableVersion, Target,
+};
 use rustix::process::Signal;
 use tokio::net::TcpListener;
 use tokio::sync::Mutex;
@@ -32,6 +34,12 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Fraction of the requests that must be served after the recovery.
 const MIN_SERVED_AFTER_RECOVERY: f64 = 0.95;
+/// Limit on request heads once it was raised, in bytes.
+const RAISED_HEAD_LIMIT: usize = 64 << 10;
+/// Length of a head beyond the first limit and within the raised one, in bytes.
+const LONG_HEAD_BYTES: usize = 20 << 10;
+/// A caller has a long head in each request whose number is a multiple of this.
+const LONG_HEAD_INTERVAL: usize = 7;
 /// Number of callers per entry.
 const CALLERS_PER_ENTRY: usize = 3;
 /// Time limit for the first table, and then for the readiness of the entries.
@@ -74,8 +82,13 @@
     shards.chain(["tablet".to_owned()]).collect()
 }
 
-/// Returns the encoded routing table of a version; the name of one route depends on the version.
+/// Returns the encoded routing table of a version with the default limits.
 pub fn table(version: u64) -> Vec<u8> {
+    table_with_limits(version, CallerLimits::default())
+}
+
+/// Returns the encoded routing table of a version; the name of one route depends on the version.
+fn table_with_limits(version: u64, limits: CallerLimits) -> Vec<u8> {
     let name = |text: &str| -> ServiceId { text.parse().expect("a valid service name") };
     let route = |path: &str, idempotent: bool, target: Target| Route {
         name: format!("r-{path}").parse().expect("a valid route name"),
@@ -105,6 +118,7 @@
         version: TableVersion(version),
         routes: routes.into_iter().map(Arc::new).collect(),
         services: services().iter().map(|s| (name(s), connections.clone())).collect(),
+        limits,
         ..Routing::default()
     };
     serde_json::to_vec(&routing).unwrap_or_default()
@@ -122,6 +136,12 @@
     next_server: usize,
     version: Arc<AtomicU64>,
     stopping: Arc<AtomicBool>,
+    /// Limit on request heads in tables sent from now on, in bytes.
+    head_limit: Arc<AtomicUsize>,
+    /// First table version with the raised limit.
+    raised_in: Arc<AtomicU64>,
+    /// Bytes by which callers lengthen some of their heads.
+    filler: Arc<AtomicUsize>,
     server_proxies: bool,
 }
 
@@ -144,6 +164,11 @@
             next_server: 0,
             version: Arc::new(AtomicU64::new(1)),
             stopping: Arc::default(),
+            head_limit: Arc::new(AtomicUsize::new(
+                CallerLimits::default().max_header_bytes as usize,
+            )),
+            raised_in: Arc::new(AtomicU64::new(u64::MAX)),
+            filler: Arc::default(),
             server_proxies: options.server_proxies,
         };
         for service in services() {
@@ -229,12 +254,15 @@
         for (i, entry) in self.fleet.callers().into_iter().enumerate() {
             for n in 0..CALLERS_PER_ENTRY {
                 let mut caller = Caller::new(format!("c{i}y{n}"), entry, self.ledger.clone());
-                let stopping = self.stopping.clone();
+                let (stopping, filler) = (self.stopping.clone(), self.filler.clone());
                 tasks.push(tokio::spawn(async move {
                     let shards = vec![services()[..SHARDS].to_vec()];
                     let mut turn = n;
                     while !stopping.load(Ordering::Relaxed) {
                         turn += 1;
+                        let is_long = turn % LONG_HEAD_INTERVAL == 0;
+                        let filler = if is_long { filler.load(Ordering::Relaxed) } else { 0 };
+                        caller.lengthen_heads(filler);
                         let status = match turn % 4 {
                             0 => caller.ask("/write/1", false, &[]).await,
                             1 => caller.ask("/lookup/1", true, &[]).await,
@@ -254,11 +282,21 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Lets callers send long heads, if no table with the first limit can be in force any more.
+    fn lengthen_heads(&self) {
+        if self.ledger.acknowledged() >= self.raised_in.load(Ordering::Relaxed) {
+            self.filler.store(LONG_HEAD_BYTES, Ordering::Relaxed);
+        }
+    }
+
     /// Sends the next routing table, to controller `first` first, and records whether it was
     /// acknowledged.
     async fn send_table(&self, first: usize) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        if put_table(&self.apis, &table(version), first).await == Some(200) {
+        let max_header_bytes = self.head_limit.load(Ordering::Relaxed) as u32;
+        let limits = CallerLimits { max_header_bytes, ..CallerLimits::default() };
+        let table = table_with_limits(version, limits);
+        if put_table(&self.apis, &table, first).await == Some(200) {
             self.ledger.record_acknowledged(version);
         }
     }
@@ -311,7 +349,10 @@
         task.await.map_err(|e| format!("cannot end a fault: {e}"))?;
     }
     ledger.record_fault();
-    tokio::time::sleep(RECOVERY_TIME).await;
+    tokio::time::sleep(FAULT_DETECTION_TIME).await;
+    // Only now is a refusal of a long head a violation; the first one ends its connection.
+    shared.lock().await.lengthen_heads();
+    tokio::time::sleep(RECOVERY_TIME - FAULT_DETECTION_TIME).await;
     let recovered = Instant::now();
     tokio::time::sleep(FAULT_DETECTION_TIME / 2).await;
     let run = shared.lock().await;
@@ -398,6 +439,12 @@
             server.set_fault(fault);
             return Some(run_after(shared, time, move |_| server.set_fault(RoutedFault::None)));
         }
+        Fault::RaiseLimit => {
+            run.head_limit.store(RAISED_HEAD_LIMIT, Ordering::Relaxed);
+            let next_version = run.version.load(Ordering::Relaxed) + 1;
+            run.raised_in.store(next_version, Ordering::Relaxed);
+            run.send_table(0).await;
+        }
         Fault::Replace(which) => return replace_server(shared, &mut run, which).await,
         Fault::Tables(count) => {
             drop(run);
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -118,9 +118,12 @@
     Garbage,
     /// Responds correctly and states that it accepts [`STATED_RATE`].
     RateLimit,
+    /// Runs requests and fails with 503, without the statement that it did not run them.
+    FalseRefusal,
 }
 
-/// Every fault except [`RoutedFault::None`], and the stated rate, whose check needs more time.
+/// Every fault except [`RoutedFault::None`], false refusals, which soaks draw apart, and the stated rate,
+/// whose check needs more time.
 pub const ROUTED_FAULTS: [RoutedFault; 8] = [
     RoutedFault::Unresponsive,
     RoutedFault::Slow,
@@ -366,8 +369,12 @@
         } else {
             String::new()
         };
+        let status = match self.has_fault(RoutedFault::FalseRefusal) {
+            true => "503 Service Unavailable",
+            false => "200 OK",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nhornbeam-request-id: {id}\r\nhornbeam-signature: {id}.{}\r\n\
+            "HTTP/1.1 {status}\r\nhornbeam-request-id: {id}\r\nhornbeam-signature: {id}.{}\r\n\
              {leaving}{rate}content-length: {}\r\n\r\n",
             service,
             body.len()
