Soak: proxies end with their seed, and addresses apart from those of tests

Cause: the proxies of a seed went on listening until the soak ended. Change: the fleet owns its proxies, and the soak begins at 127.0.30.

--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
+use tokio::task::JoinSet;
 
 use crate::caller::http;
 use crate::entry_links::EntryLinks;
@@ -69,6 +70,8 @@
     seeds: Vec<SocketAddr>,
     /// Links between entries and servers.
     pub entry_links: EntryLinks,
+    /// Proxies in front of the programs; they release their addresses with the fleet.
+    proxies: JoinSet<()>,
 }
 
 impl Fleet {
@@ -88,8 +91,13 @@
         let ip = |n: usize| IpAddr::V4(Ipv4Addr::new(127, 0, net, n as u8));
         let seeds = (0..controllers.min(3)).map(|i| SocketAddr::new(ip(1 + i), API_PORT)).collect();
         let entry_links = EntryLinks::default();
-        let mut fleet =
-            Self { programs: Vec::new(), binary: binary.to_owned(), seeds, entry_links };
+        let mut fleet = Self {
+            programs: Vec::new(),
+            binary: binary.to_owned(),
+            seeds,
+            entry_links,
+            proxies: JoinSet::new(),
+        };
         for i in 0..controllers {
             let name = format!("control-{i}");
             fleet.add(folder, ProgramKind::Controller, name, ip(1 + i), ip(101 + i));
@@ -97,20 +105,21 @@
         for i in 0..entries {
             fleet.add(folder, ProgramKind::Entry, format!("entry-{i}"), ip(51 + i), ip(151 + i));
         }
+        let proxies = &mut fleet.proxies;
         for program in &fleet.programs {
             let at = |ip, port| SocketAddr::new(ip, port);
             if program.kind == ProgramKind::Entry {
                 let (from, to) = (at(program.address, INNER_PORT), at(program.bind, INNER_PORT));
-                forward_streams(from, to, program.links.clone()).await?;
+                forward_streams(from, to, program.links.clone(), proxies).await?;
                 continue;
             }
             for port in [API_PORT, INNER_PORT, INNER_PORT + 1] {
                 let (from, to) = (at(program.address, port), at(program.bind, port));
-                forward_streams(from, to, program.links.clone()).await?;
+                forward_streams(from, to, program.links.clone(), proxies).await?;
             }
             let port = INNER_PORT + 1;
             let (from, to) = (at(program.address, port), at(program.bind, port));
-            forward_datagrams(from, to, program.links.clone()).await?;
+            forward_datagrams(from, to, program.links.clone(), proxies).await?;
         }
         for i in 0..fleet.programs.len() {
             fleet.start_program(i, true)?;
--- a/crates/hornbeam_soak/src/main.rs
+++ b/crates/hornbeam_soak/src/main.rs
@@ -7,6 +7,9 @@
 use argh::FromArgs;
 use hornbeam_soak::run::{Options, run_seed};
 
+/// Third octet of the loopback addresses of the first seed; the lower ones are those of tests.
+const FIRST_NET: u8 = 30;
+
 /// Runs entries and controllers as processes, injects faults and checks their guarantees.
 #[derive(Debug, FromArgs)]
 struct Args {
@@ -61,7 +64,7 @@
             let options = Options {
                 binary: args.binary.clone(),
                 seed: next,
-                net: 20 + (next % 200) as u8,
+                net: FIRST_NET + (next % 200) as u8,
                 length: Duration::from_secs(args.seconds),
                 programs: (args.entries, args.controllers),
                 server_proxies: true,
--- a/crates/hornbeam_soak/src/proxy.rs
+++ b/crates/hornbeam_soak/src/proxy.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::JoinSet;
 
 /// Interval at which the link state is polled while it blocks traffic, and for resets.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -81,7 +82,7 @@
     }
 }
 
-/// Listens on `from` and forwards each connection to `to`.
+/// Listens on `from` and forwards each connection to `to` until the task in `proxies` ends.
 ///
 /// # Errors
 ///
@@ -90,9 +91,10 @@
     from: SocketAddr,
     to: SocketAddr,
     links: Links,
+    proxies: &mut JoinSet<()>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(from).await?;
-    tokio::spawn(async move {
+    proxies.spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else { return };
             tokio::spawn(forward_stream(stream, to, links.clone()));
@@ -139,7 +141,8 @@
     }
 }
 
-/// Receives datagrams on `from` and forwards them to `to`; responses are not forwarded.
+/// Receives datagrams on `from` and forwards them to `to` until the task in `proxies` ends; responses are
+/// not forwarded.
 ///
 /// # Errors
 ///
@@ -148,10 +151,11 @@
     from: SocketAddr,
     to: SocketAddr,
     links: Links,
+    proxies: &mut JoinSet<()>,
 ) -> std::io::Result<()> {
     let socket = UdpSocket::bind(from).await?;
     let out = UdpSocket::bind(SocketAddr::new(from.ip(), 0)).await?;
-    tokio::spawn(async move {
+    proxies.spawn(async move {
         let mut buf = vec![0; 64 << 10];
         loop {
             let Ok((n, _)) = socket.recv_from(&mut buf).await else { return };
