Tests of the entry: one place that opens callers' connections and joins two entries

Change: tests/common has connect, connect_caller and connect_entries; the tests and their checks stay as they are.

--- a/crates/hornbeam_entry/tests/caller_limits.rs
+++ b/crates/hornbeam_entry/tests/caller_limits.rs
@@ -7,14 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{core_without_table, read_request, response, run_local, servers, table};
+use common::{connect, core_without_table, read_request, response, run_local, servers, table};
 use hornbeam_entry::core::Core;
-use hornbeam_entry::front::{self, Stage};
 use hornbeam_model::{CallerLimits, Routing, TableVersion};
 use hornbeam_route::Input;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 /// A core whose only server serves each request.
 async fn serving_core() -> Rc<Core> {
@@ -43,16 +41,6 @@
     core.step(Input::Table(Arc::new(Routing { version, limits, ..table(true) })));
 }
 
-async fn connect(core: &Rc<Core>) -> TcpStream {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (tx, stage) = watch::channel(Stage::Serving);
-    // The entry serves until the end of the test.
-    std::mem::forget(tx);
-    tokio::task::spawn_local(front::accept(core.clone(), listener, stage, Rc::default()));
-    TcpStream::connect(address).await.unwrap()
-}
-
 /// Sends a request whose head has this length; returns the status of its response.
 async fn send(stream: &mut TcpStream, id: &str, head_bytes: usize) -> u16 {
     let start = format!(
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -7,9 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_discovery::FeedCounts;
 use hornbeam_entry::core::{Core, ForwardedRequest, ReceivedRequest, Reply};
 use hornbeam_entry::dialect::Dialect;
-use hornbeam_entry::group_exchange::GroupExchange;
+use hornbeam_entry::front::{self, Stage};
+use hornbeam_entry::group_exchange::{self, GroupExchange};
 use hornbeam_entry::metrics::Metrics;
 use hornbeam_model::{
     Fingerprint, Incarnation, Route, RoutedService, Routing, ServiceId, TableVersion, Target,
@@ -17,10 +19,13 @@
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
-use hornbeam_route::{Engine, EngineParams, Input, QuotaBounds, RetryBudgetParams, ServerChange};
+use hornbeam_route::{
+    Engine, EngineParams, Input, Peer, QuotaBounds, RetryBudgetParams, ServerChange,
+};
 use hornbeam_settings::LogRates;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 fn route(idempotent: bool) -> Route {
     Route {
@@ -111,6 +116,35 @@
     )
 }
 
+/// Makes `other` known to `origin` as an entry of another zone that gathers groups.
+pub async fn connect_entries(origin: &Rc<Core>, other: &Rc<Core>) {
+    other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = Peer {
+        name: "e1".parse().unwrap(),
+        address: listener.local_addr().unwrap(),
+        zone: "prerov".parse().unwrap(),
+    };
+    tokio::task::spawn_local(group_exchange::accept(other.clone(), listener));
+    origin.step(Input::Peers(vec![peer]));
+}
+
+/// Accepts callers and opens a connection of one; the entry is in this stage until the sender says otherwise.
+pub async fn connect_caller(core: &Rc<Core>, stage: Stage) -> (TcpStream, watch::Sender<Stage>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, stage) = watch::channel(stage);
+    tokio::task::spawn_local(front::accept(core.clone(), listener, stage, Rc::default()));
+    (TcpStream::connect(address).await.unwrap(), tx)
+}
+
+/// Opens a connection of a caller to an entry that serves until the end of the test.
+pub async fn connect(core: &Rc<Core>) -> TcpStream {
+    let (stream, stage) = connect_caller(core, Stage::Serving).await;
+    std::mem::forget(stage);
+    stream
+}
+
 pub async fn request(core: &Rc<Core>, id: &str) -> Reply {
     request_path(core, id, "/lookup/1").await
 }
--- a/crates/hornbeam_entry/tests/cut_heads.rs
+++ b/crates/hornbeam_entry/tests/cut_heads.rs
@@ -4,14 +4,11 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 
-use common::{core, named_core, read_request, request, run_local};
-use hornbeam_discovery::FeedCounts;
+use common::{connect_entries, core, named_core, read_request, request, run_local};
 use hornbeam_entry::core::Reply;
-use hornbeam_entry::group_exchange;
 use hornbeam_entry::response::read_response;
-use hornbeam_route::{Input, Peer, RefusalKind};
+use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -83,15 +80,7 @@
             let cut = &head[..head.len() - 2];
             let origin = named_core("e0", &[closed], false);
             let other = named_core("e1", &[start_server(cut.to_owned()).await], false);
-            other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let peer = Peer {
-                name: "e1".parse().unwrap(),
-                address: listener.local_addr().unwrap(),
-                zone: "prerov".parse().unwrap(),
-            };
-            tokio::task::spawn_local(group_exchange::accept(Rc::clone(&other), listener));
-            origin.step(Input::Peers(vec![peer]));
+            connect_entries(&origin, &other).await;
             assert_no_response(request(&origin, "r1").await, cut);
         }
     });
--- a/crates/hornbeam_entry/tests/false_refusals.rs
+++ b/crates/hornbeam_entry/tests/false_refusals.rs
@@ -6,11 +6,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use common::{core, named_core, read_request, request, run_local};
-use hornbeam_discovery::FeedCounts;
+use common::{connect_entries, core, named_core, read_request, request, run_local};
 use hornbeam_entry::core::{Core, Reply};
-use hornbeam_entry::group_exchange;
-use hornbeam_route::{Input, Peer, RefusalKind};
+use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
@@ -43,15 +41,7 @@
 async fn relaying_core(other: Rc<Core>, idempotent: bool) -> Rc<Core> {
     let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
     let origin = named_core("e0", &[closed], idempotent);
-    other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let peer = Peer {
-        name: "e1".parse().unwrap(),
-        address: listener.local_addr().unwrap(),
-        zone: "prerov".parse().unwrap(),
-    };
-    tokio::task::spawn_local(group_exchange::accept(other, listener));
-    origin.step(Input::Peers(vec![peer]));
+    connect_entries(&origin, &other).await;
     origin
 }
 
--- a/crates/hornbeam_entry/tests/late_requests.rs
+++ b/crates/hornbeam_entry/tests/late_requests.rs
@@ -7,13 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{core, read_request, request, response, run_local};
+use common::{connect_caller, core, read_request, request, response, run_local};
 use hornbeam_entry::core::{Core, Reply};
-use hornbeam_entry::front::{self, Stage};
+use hornbeam_entry::front::Stage;
 use hornbeam_route::Input;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 /// A core whose only server answers each request and counts them.
 async fn serving_core() -> (Rc<Core>, Rc<Cell<u32>>) {
@@ -32,14 +31,6 @@
     (core, runs)
 }
 
-async fn connect(core: &Rc<Core>) -> (TcpStream, watch::Sender<Stage>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (tx, stage) = watch::channel(Stage::Draining);
-    tokio::task::spawn_local(front::accept(core.clone(), listener, stage, Rc::default()));
-    (TcpStream::connect(address).await.unwrap(), tx)
-}
-
 const HEAD: &str = "POST /lookup/1 HTTP/1.1\r\nhost: plots.example\r\nhornbeam-request-id: r1\r\n\
                     content-length: 10\r\n\r\nsward";
 
@@ -72,7 +63,7 @@
 fn read_after_stop() {
     run_local(async {
         let (core, runs) = serving_core().await;
-        let (mut stream, stage) = connect(&core).await;
+        let (mut stream, stage) = connect_caller(&core, Stage::Draining).await;
         stream.write_all(HEAD.as_bytes()).await.unwrap();
         tokio::time::sleep(Duration::from_millis(50)).await;
         stage.send_replace(Stage::Closing);
@@ -87,7 +78,7 @@
 fn unread_at_stop() {
     run_local(async {
         let (core, runs) = serving_core().await;
-        let (mut stream, stage) = connect(&core).await;
+        let (mut stream, stage) = connect_caller(&core, Stage::Draining).await;
         stream.write_all(HEAD.as_bytes()).await.unwrap();
         tokio::time::sleep(Duration::from_millis(50)).await;
         stage.send_replace(Stage::Closing);
--- a/crates/hornbeam_entry/tests/relayed_requests.rs
+++ b/crates/hornbeam_entry/tests/relayed_requests.rs
@@ -6,11 +6,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use common::{named_core, read_head, request, run_local};
-use hornbeam_discovery::FeedCounts;
+use common::{connect_entries, named_core, read_head, request, run_local};
 use hornbeam_entry::core::{Core, Reply};
-use hornbeam_entry::group_exchange;
-use hornbeam_route::{Input, Peer, RefusalKind};
+use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
@@ -50,15 +48,7 @@
 async fn entries(address: SocketAddr, idempotent: bool) -> (Rc<Core>, Rc<Core>) {
     let origin = named_core("e0", &[closed_address().await], idempotent);
     let other = named_core("e1", &[address], idempotent);
-    other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let peer = Peer {
-        name: "e1".parse().unwrap(),
-        address: listener.local_addr().unwrap(),
-        zone: "prerov".parse().unwrap(),
-    };
-    tokio::task::spawn_local(group_exchange::accept(other.clone(), listener));
-    origin.step(Input::Peers(vec![peer]));
+    connect_entries(&origin, &other).await;
     (origin, other)
 }
 
--- a/crates/hornbeam_entry/tests/teams.rs
+++ b/crates/hornbeam_entry/tests/teams.rs
@@ -8,17 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{core, read_head, response, run_local};
-use hornbeam_discovery::FeedCounts;
+use common::{connect, connect_entries, core, read_head, response, run_local};
 use hornbeam_entry::contact::majority_at;
 use hornbeam_entry::core::Core;
-use hornbeam_entry::front::{self, Stage};
-use hornbeam_entry::group_exchange;
 use hornbeam_model::{KeyDigest, Mono, Routing, TableVersion, Team, TrafficPolicy};
-use hornbeam_route::{ControllerContact, Input, Peer};
+use hornbeam_route::{ControllerContact, Input};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 /// Heads of the requests that the server has received.
 type Heads = Rc<RefCell<Vec<String>>>;
@@ -59,17 +55,6 @@
     Arc::new(Routing { version: TableVersion(version), policy, ..Routing::clone(&current) })
 }
 
-/// Accepts callers and opens a connection of one.
-async fn connect(core: &Rc<Core>) -> TcpStream {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (tx, stage) = watch::channel(Stage::Serving);
-    // The entry serves until the end of the test.
-    std::mem::forget(tx);
-    tokio::task::spawn_local(front::accept(core.clone(), listener, stage, Rc::default()));
-    TcpStream::connect(address).await.unwrap()
-}
-
 /// Sends a request with these header lines; returns the status of its response.
 async fn send(stream: &mut TcpStream, id: &str, lines: &str) -> u16 {
     let head = format!(
@@ -230,12 +215,7 @@
         let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let origin = core(closed, true);
         let other = common::named_core("e1", &[server], true);
-        other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        tokio::task::spawn_local(group_exchange::accept(other.clone(), listener));
-        let (name, zone) = ("e1".parse().unwrap(), "prerov".parse().unwrap());
-        origin.step(Input::Peers(vec![Peer { name, address, zone }]));
+        connect_entries(&origin, &other).await;
         origin.step(Input::Table(table(&origin, 2, &[("orchard", &["acorn"])])));
         // The other entry has a table in which the team has no key left.
         other.step(Input::Table(table(&other, 3, &[("orchard", &[])])));
