Wording of false refusals

Cause: the head of entry/false_refusals and a comment said what a caller is told instead of what it does. Change: comments only.

--- a/crates/hornbeam_entry/tests/false_refusals.rs
+++ b/crates/hornbeam_entry/tests/false_refusals.rs
@@ -1,5 +1,5 @@
-//! Guards against callers being told that a request has not run, though a server ran it and failed
-//! with a status that says so.
+//! Guards against passing on a server's 408, 429 or 503 for a request that it ran: callers send such a
+//! request again.
 
 mod common;
 
--- a/crates/hornbeam_route/src/request.rs
+++ b/crates/hornbeam_route/src/request.rs
@@ -330,7 +330,7 @@
     ) -> Option<AttemptId> {
         let forwards = match outcome {
             AttemptOutcome::Error => true,
-            // A caller that is told that a request has not run sends it again.
+            // Its status makes the caller send the request again.
             AttemptOutcome::FalseRefusal => self.route.idempotent,
             _ => false,
         };
