--- a/crates/hornbeam_soak/src/lib.rs
+++ b/crates/hornbeam_soak/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`ledger`]: observations of callers, servers and operators, and checks of the guarantees
 //! - [`plan`]: random faults, drawn from a seed
 //! - [`run`]: a complete run of one seed
+//! - [`tables`]: routing tables that operators send
 
 pub mod caller;
 pub mod entry_links;
@@ -18,3 +19,4 @@
 pub mod plan;
 pub mod proxy;
 pub mod run;
+pub mod tables;
