Controllers say what state the control log is in

Cause: after a final loss the logs did not tell apart why no controller leads. Change: a line control_log whenever the role, the leader, the voters, a replacement or the refusal changes, and the gauges _voters, _replacing_voter and _committed_index. No decision depends on them.

--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -280,6 +280,11 @@
         self.commit_index
     }
 
+    /// Returns the index of the last entry that the latest snapshot includes.
+    pub fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.last.index
+    }
+
     /// Returns the term and index of the last log entry, committed or not.
     pub fn last_position(&self) -> LogPos {
         self.log.last()
--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -21,6 +21,12 @@
     pub evacuated_zones: IntGauge,
     /// Version of the routing table in force.
     pub table_version: IntGauge,
+    /// Voters of the control log as this controller knows them.
+    pub voters: IntGauge,
+    /// 1 while a voter is being replaced.
+    pub replacing_voter: IntGauge,
+    /// Index of the last log entry that this controller knows to be committed.
+    pub committed_index: IntGauge,
 }
 
 impl Default for Metrics {
@@ -43,6 +49,15 @@
                 "Zones whose servers are evacuated.",
             ),
             table_version: gauge("hornbeam_controller_table_version", "Routing table in force."),
+            voters: gauge("hornbeam_controller_voters", "Voters of the control log."),
+            replacing_voter: gauge(
+                "hornbeam_controller_replacing_voter",
+                "1 while a voter is being replaced.",
+            ),
+            committed_index: gauge(
+                "hornbeam_controller_committed_index",
+                "Last log entry known to be committed.",
+            ),
             registry,
         }
     }
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -90,6 +90,7 @@
         let mut out = Vec::new();
         voter.step(now, input, &mut out);
         self.apply_outputs(out).await;
+        self.log_status();
         self.publish_orders_once_current(now);
     }
 
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -7,6 +7,7 @@
 //! - [`control_log`]: the replicated log, and routing tables that are proposed, committed and read
 
 mod control_log;
+mod log_status;
 mod peers;
 mod servers;
 mod team_usage;
@@ -97,6 +98,8 @@
     /// `None` without a data folder and while the disk cannot be used.
     voter: Option<Voter>,
     reopen_at: Mono,
+    /// State of the control log that was written to the log last; `None` while there is no voter.
+    logged_status: Option<log_status::LogStatus>,
     tables: RecentTables,
     zones: zone_orders::ZoneState,
     started_at: Mono,
@@ -187,6 +190,7 @@
             crash_file: None,
             voter: None,
             reopen_at: now,
+            logged_status: None,
             tables: RecentTables::default(),
             zones: zone_orders::ZoneState::default(),
             started_at: now,
@@ -299,6 +303,12 @@
         self.metrics.controllers.set(self.live_controllers(now).len() as i64);
         self.metrics.leads.set(i64::from(self.is_leader()));
         self.metrics.table_version.set(self.tables.version().0 as i64);
+        let raft = self.raft();
+        let voters = raft.map_or(0, |r| r.membership().voters.len());
+        self.metrics.voters.set(voters as i64);
+        let replacing = raft.is_some_and(|r| r.membership().replacement.is_some());
+        self.metrics.replacing_voter.set(i64::from(replacing));
+        self.metrics.committed_index.set(raft.map_or(0, |r| r.commit_index().0) as i64);
     }
 
     /// Discards the servers that are ready and all feeds after a suspension of the machine, because
