Former voters follow a leader whose disk they do not know

Cause: a voter that is replaced while it is cut off keeps the membership of its own log. When it is back it asks for votes, ignores the objections to its disk, since these count before its verification only, and drops every message of a leader whose disk has changed since. If it then has to take the place of a voter that is gone, it never catches up; two voters are left, and the loss of one more disk ends the log. After a restart it stays unverified if fewer instances object than half of a membership of long ago has voters. Class: trust in a list that can only be corrected by those it shuts out. Change: a learner follows whoever leads, as its acknowledgments do not count; a voter that hears no leader becomes a learner if instances object to its disk and no majority of the voters knows it; an objection counts for 3 s.

--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -32,6 +32,9 @@
 /// Time for which a starting voter waits for objections, unless all other voters have confirmed its
 /// disk earlier.
 const OBJECTION_PERIOD: Duration = Duration::from_millis(500);
+/// Time for which an objection counts; longer than two elections of a voter that hears no leader, which
+/// asks again at each of them.
+const OBJECTION_TTL: Duration = Duration::from_secs(3);
 
 /// Content of a hello message.
 #[derive(Clone, Copy, Debug)]
@@ -61,8 +64,8 @@
     /// Voters that are blank themselves.
     blank_voters: IndexSet<InstanceId>,
     /// Instances whose latest reply is that a membership later than this log lists this instance
-    /// with another disk, or not as a voter.
-    foreign_by: IndexSet<InstanceId>,
+    /// with another disk, or not as a voter, with the time of the reply.
+    foreign_by: IndexMap<InstanceId, Mono>,
     /// Instances that have sent a hello and do not vote with their disk.
     pub non_voters: IndexMap<InstanceId, NonVoter>,
     /// Instances that may have the control role; may include voters.
@@ -198,7 +201,9 @@
             return self.refuse(OUTDATED_DISK, out);
         }
         let is_refused = self.identity.refusal == Some(FOREIGN_DISK);
-        if self.role != Role::Unverified && !is_refused {
+        // A voter that hears no leader may have been replaced in its absence.
+        let asks = matches!(self.role, Role::Unverified | Role::PreCandidate);
+        if !asks && !is_refused {
             return;
         }
         // Only the latest reply of an instance counts: its log may have grown since the last one.
@@ -212,11 +217,11 @@
                 self.identity.blank_voters.insert(from.clone());
             }
             HelloVerdict::Foreign => {
-                self.identity.foreign_by.insert(from.clone());
+                self.identity.foreign_by.insert(from.clone(), now);
             }
             HelloVerdict::Outdated => {}
         }
-        if self.is_foreign() {
+        if self.is_foreign(now) {
             self.refuse(FOREIGN_DISK, out);
         } else if is_refused && self.is_voter() {
             self.identity.refusal = None;
@@ -225,11 +230,13 @@
         self.verify(now, out);
     }
 
-    /// Returns true if enough instances object to this disk. The membership that one of them knows
-    /// may never be committed; a majority does not object in that case.
-    fn is_foreign(&self) -> bool {
-        let count = self.identity.foreign_by.len();
-        (self.is_blank() && count > 0) || 2 * count > self.members.voters.len()
+    /// Returns true if instances object to this disk, unless a majority of the voters knows it: the
+    /// membership on which an objection rests may never be committed.
+    fn is_foreign(&self, now: Mono) -> bool {
+        let objections = self.identity.foreign_by.values();
+        let count = objections.filter(|at| now.since(**at) < OBJECTION_TTL).count();
+        let is_known = !self.is_blank() && self.is_majority(self.identity.known_by.len());
+        count > 0 && (!is_known || 2 * count > self.members.voters.len())
     }
 
     /// Records that this instance may not vote with its disk. With a foreign disk it can still
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -337,8 +337,14 @@
             }
             _ => {}
         }
-        let is_verified = self.role != Role::Unverified;
-        if !is_verified || !self.is_known_disk(from, disk) {
+        if self.role == Role::Unverified {
+            return;
+        }
+        // A learner may know the voters of long ago only. Its acknowledgments do not count, so it follows
+        // whoever leads.
+        let follows = self.role == Role::Learner
+            && matches!(body, ControlBody::Append { .. } | ControlBody::Snapshot { .. });
+        if !follows && !self.is_known_disk(from, disk) {
             return;
         }
         match body {
--- a/crates/hornbeam_control/src/raft/replication.rs
+++ b/crates/hornbeam_control/src/raft/replication.rs
@@ -151,6 +151,10 @@
     ) {
         let reply = |success, matched| ControlBody::AppendReply { success, matched, round };
         if prev.index < self.commit_index {
+            // A leader of this log has its committed entries.
+            if self.log.term_at(prev.index).is_some_and(|term| term != prev.term) {
+                return;
+            }
             // Everything up to the commit index is known to match, so a message that ends before it
             // is acknowledged without a comparison.
             let skipped = (self.commit_index.0 - prev.index.0) as usize;
