A standby that does not catch up is passed over

What callers saw: the same as with former voters that cannot follow: one more loss, and no change is decided any more (CONFIG, RECOVER). Cause: the leader takes in the first standby that sends hellos. If that one does not catch up, it is given up after 2.5 s and chosen again at once, for ever, while another standby is ready. A voter that returned with a new disk was always tried first in the same way. Change: standbys are taken in the order in which they were given up, those never tried first; one whose hellos arrive but that does not reply for 0.8 s is given up; replies of a lost disk do not count for the new one of the same name.

--- a/crates/hornbeam_control/src/raft/election.rs
+++ b/crates/hornbeam_control/src/raft/election.rs
@@ -181,6 +181,7 @@
             round: 0,
             unconfirmed_rounds: Vec::new(),
             next_heartbeat_at: now,
+            given_up: IndexMap::new(),
             pending_proposals: IndexMap::new(),
             has_committed_in_term: false,
         });
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -153,6 +153,8 @@
     /// Rounds that no majority has acknowledged yet, with the time they were sent; oldest first.
     unconfirmed_rounds: Vec<(u64, Mono)>,
     next_heartbeat_at: Mono,
+    /// Standby instances that did not catch up, with the time at which their replacement was given up.
+    given_up: IndexMap<InstanceId, Mono>,
     /// Proposals whose entries are not committed yet, by index of the entry.
     pending_proposals: IndexMap<LogIndex, Vec<ProposalId>>,
     /// True once an entry of this term is committed. Only then does the leader accept proposals and
--- a/crates/hornbeam_control/src/raft/proposal.rs
+++ b/crates/hornbeam_control/src/raft/proposal.rs
@@ -143,6 +143,10 @@
         replacement: Replacement,
         out: &mut Vec<RaftOutput>,
     ) -> LogIndex {
+        if let Some(leader_state) = &mut self.leader_state {
+            // What a lost disk of the same name has replied says nothing about the new one.
+            leader_state.progress.shift_remove(&replacement.incoming);
+        }
         let voters = self.members.voters.clone();
         let members = Membership { voters, replacement: Some(replacement) };
         let index = self.append(Command::Members(members), out);
--- a/crates/hornbeam_control/src/raft/repair.rs
+++ b/crates/hornbeam_control/src/raft/repair.rs
@@ -34,11 +34,9 @@
         if !has_committed_in_term || self.members_index > self.commit_index {
             return;
         }
-        if let Some(replacement) = &self.members.replacement {
-            if self.is_obsolete(now, replacement, policy) {
-                let voters = self.members.voters.clone();
-                self.append(Command::Members(Membership { voters, replacement: None }), out);
-                self.refresh_progress(now);
+        if let Some(replacement) = self.members.replacement.clone() {
+            if self.is_obsolete(now, &replacement) {
+                self.give_up(now, replacement, out);
             }
             return;
         }
@@ -48,9 +46,9 @@
         }
     }
 
-    /// Returns true if the incoming instance does not vote yet and has timed out, or if the voter that
-    /// timed out replies again.
-    fn is_obsolete(&self, now: Mono, replacement: &Replacement, policy: RepairPolicy) -> bool {
+    /// Returns true if the incoming instance does not vote yet and is silent, although its hellos arrive,
+    /// or if the voter that timed out replies again.
+    fn is_obsolete(&self, now: Mono, replacement: &Replacement) -> bool {
         let Replacement { incoming, disk, outgoing } = replacement;
         if self.members.voters.get(incoming) == Some(&Some(*disk)) {
             return false;
@@ -58,30 +56,45 @@
         let has_returned = incoming != outgoing
             && self.members.voters.contains_key(outgoing)
             && self.replies(now, outgoing);
-        has_returned || self.has_timed_out(now, incoming, policy.voter_timeout)
+        has_returned || self.has_timed_out(now, incoming, ELECTION_TIMEOUT_MIN)
+    }
+
+    fn give_up(&mut self, now: Mono, replacement: Replacement, out: &mut Vec<RaftOutput>) {
+        if let Some(leader_state) = &mut self.leader_state {
+            leader_state.given_up.insert(replacement.incoming, now);
+        }
+        let voters = self.members.voters.clone();
+        self.append(Command::Members(Membership { voters, replacement: None }), out);
+        self.refresh_progress(now);
     }
 
     /// Returns the replacement that the policy requires next: a voter with a new disk first, then
-    /// an additional voter, then a voter that has timed out.
+    /// an additional voter, then a voter that has timed out. A standby instance that did not catch up
+    /// comes after those that were not tried since.
     fn next_replacement(&self, now: Mono, policy: RepairPolicy) -> Option<Replacement> {
-        let non_voters = self.identity.non_voters.iter();
-        let standby = non_voters.filter(|(name, s)| {
+        let voters = &self.members.voters;
+        let timed_out = voters.keys().find(|v| self.has_timed_out(now, v, policy.voter_timeout));
+        let standby = self.identity.non_voters.iter().filter(|(name, s)| {
             now.since(s.seen_at) < MAX_STANDBY_HELLO_AGE && **name != self.params.me
         });
-        let standby: Vec<_> = standby.collect();
-        let voters = &self.members.voters;
-        let new_disk = |name: &InstanceId, disk| voters.get(name).is_some_and(|d| *d != Some(disk));
-        if let Some((name, s)) = standby.iter().find(|(name, s)| new_disk(name, s.disk)) {
-            let (incoming, outgoing) = ((*name).clone(), (*name).clone());
-            return Some(Replacement { incoming, disk: s.disk, outgoing });
-        }
-        let (name, s) = standby.into_iter().find(|(name, _)| !voters.contains_key(*name))?;
-        let incoming = name.clone();
-        if voters.len() < policy.target_voters {
-            return Some(Replacement { outgoing: incoming.clone(), incoming, disk: s.disk });
+        let mut candidates = Vec::new();
+        for (name, s) in standby {
+            let given_up = self.leader_state.as_ref().and_then(|l| l.given_up.get(name)).copied();
+            let (rank, outgoing) = match voters.get(name) {
+                Some(disk) if *disk == Some(s.disk) => continue,
+                Some(_) => (0, name),
+                None if voters.len() < policy.target_voters => (1, name),
+                None => match timed_out {
+                    Some(voter) => (2, voter),
+                    None => continue,
+                },
+            };
+            let (incoming, outgoing) = (name.clone(), outgoing.clone());
+            let replacement = Replacement { incoming, disk: s.disk, outgoing };
+            candidates.push((given_up, rank, replacement));
         }
-        let timed_out = voters.keys().find(|v| self.has_timed_out(now, v, policy.voter_timeout))?;
-        Some(Replacement { incoming, disk: s.disk, outgoing: timed_out.clone() })
+        let next = candidates.into_iter().min_by_key(|(given_up, rank, _)| (*given_up, *rank));
+        next.map(|(_, _, replacement)| replacement)
     }
 
     /// Returns true if this leader has had no reply from an instance for `timeout`.
--- a/crates/hornbeam_control/tests/former_voters.rs
+++ b/crates/hornbeam_control/tests/former_voters.rs
@@ -111,6 +111,26 @@
     }
 }
 
+#[test]
+fn silent_standby() {
+    for seed in 0..20 {
+        let (mut cluster, former, renewed) = former_voter(seed);
+        cluster.make_voter(4);
+        cluster.start(4);
+        cluster.run_for(SECOND);
+        // Its hellos still arrive, but nothing reaches it.
+        for i in (0..5).filter(|i| *i != former) {
+            cluster.cut_one_way(i, former);
+        }
+        lose_other_voter(&mut cluster, renewed);
+        // A standby that does not reply is given up after the time after which a voter is.
+        cluster.run_for(2 * REPAIR_TIME);
+        assert!(votes(&cluster, 4), "seed {seed}: the place is empty\n{}", cluster.describe());
+        commit_table(&mut cluster, 3);
+        assert_eq!(cluster.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn keeps_following() {
     for seed in 0..20 {
