A hello that arrives late does not exclude its sender

Cause: an instance whose hello names an earlier entry than the leader knows it to have acknowledged counts as one with an outdated disk, and is excluded for good. A hello and an acknowledgment that the same start sends after it may overtake each other on the way. Change: acknowledgments are kept with the start that sent them; a hello must name what earlier starts of its disk have acknowledged, not what its own has. An outdated copy of a disk starts with another number and is excluded as before (control/disks, votes).

--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -45,6 +45,32 @@
     pub last: LogPos,
 }
 
+/// Last entries that a disk has acknowledged.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Acknowledged {
+    last: LogPos,
+    /// Number of the start to which `last` belongs, if it is known.
+    start: Option<u64>,
+    /// Last entry that earlier starts have acknowledged.
+    earlier: LogPos,
+}
+
+impl Acknowledged {
+    pub(super) fn record(&mut self, start: Option<u64>, position: LogPos) {
+        if self.start != start {
+            self.start = start;
+            self.earlier = self.last;
+        }
+        self.last = self.last.max(position);
+    }
+
+    /// Returns the last entry that a start of this number must have. A hello may arrive after an
+    /// acknowledgment that the same start has sent later.
+    fn required_of(&self, start: u64) -> LogPos {
+        if self.start == Some(start) { self.earlier } else { self.last }
+    }
+}
+
 /// Instance that has sent a hello and is not a voter with the disk that it named.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NonVoter {
@@ -66,6 +92,9 @@
     /// Instances whose latest reply is that a membership later than this log lists this instance
     /// with another disk, or not as a voter, with the time of the reply.
     foreign_by: IndexMap<InstanceId, Mono>,
+    /// Random number of the latest start of each disk, from hellos without an objection to an outdated
+    /// disk.
+    pub starts: IndexMap<DiskId, u64>,
     /// Instances that have sent a hello and do not vote with their disk.
     pub non_voters: IndexMap<InstanceId, NonVoter>,
     /// Instances that may have the control role; may include voters.
@@ -126,6 +155,9 @@
             return;
         }
         let verdict = self.hello_verdict(from, hello);
+        if verdict != HelloVerdict::Outdated {
+            self.identity.starts.insert(hello.disk, hello.nonce);
+        }
         match verdict {
             HelloVerdict::Known | HelloVerdict::Blank => {
                 let boot = Boot { disk: hello.disk, boot: hello.boot, nonce: hello.nonce };
@@ -163,8 +195,9 @@
             let same_start = known.nonce == hello.nonce;
             same_disk && !same_start && known.boot >= hello.boot
         });
-        let acknowledged = self.acknowledged.get(&hello.disk).copied().unwrap_or_default();
-        if later_start || acknowledged > hello.last {
+        let acknowledged = self.acknowledged.get(&hello.disk);
+        let required = acknowledged.map(|a| a.required_of(hello.nonce)).unwrap_or_default();
+        if later_start || required > hello.last {
             return HelloVerdict::Outdated;
         }
         HelloVerdict::Known
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -190,8 +190,8 @@
     leader_state: Option<LeaderState>,
     /// Latest known start of each other voter.
     boots: IndexMap<InstanceId, Boot>,
-    /// Last entry that each disk has acknowledged to this instance as leader.
-    acknowledged: IndexMap<DiskId, LogPos>,
+    /// What each disk has acknowledged to this instance as leader.
+    acknowledged: IndexMap<DiskId, identity::Acknowledged>,
     identity: identity::IdentityCheck,
     /// When the state last held everything that was committed.
     caught_up_at: Option<Mono>,
--- a/crates/hornbeam_control/src/raft/replication.rs
+++ b/crates/hornbeam_control/src/raft/replication.rs
@@ -275,8 +275,9 @@
 
     fn record_acknowledged(&mut self, disk: Option<DiskId>, matched: LogIndex) {
         let (Some(disk), Some(term)) = (disk, self.log.term_at(matched)) else { return };
+        let start = self.identity.starts.get(&disk).copied();
         let known = self.acknowledged.entry(disk).or_default();
-        *known = (*known).max(LogPos { term, index: matched });
+        known.record(start, LogPos { term, index: matched });
     }
 
     /// Returns the highest index that a majority of the voters has in its log.
