A new leader counts the silence of the last one from when it was heard

What callers saw: the place of a lost leader stays empty for the time of the election and 2.5 s more; a second loss in that time ends the log. Cause: a new leader took every voter for heard at its election. Change: the last leader is silent since it was last heard.

--- a/crates/hornbeam_control/src/raft/election.rs
+++ b/crates/hornbeam_control/src/raft/election.rs
@@ -189,10 +189,23 @@
         let command = self.first_command();
         self.append(command, out);
         self.refresh_progress(now);
+        self.recall_last_leader();
         self.leader_tick(now, out);
         self.advance_commit(now, out);
     }
 
+    /// Counts the silence of the last leader from when it was heard, so that its place is not empty for the
+    /// time of the election longer.
+    fn recall_last_leader(&mut self) {
+        let (Some(name), Some(heard_at)) = (&self.last_leader, self.leader_heard_at) else {
+            return;
+        };
+        let progress = self.leader_state.as_mut().and_then(|l| l.progress.get_mut(name));
+        if let Some(progress) = progress {
+            progress.last_reply_at = heard_at;
+        }
+    }
+
     /// Returns the first entry of a term: a no-op, or in an empty log the membership with the disk
     /// identity of each initial voter.
     fn first_command(&self) -> Command {
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -185,6 +185,8 @@
     leader: Option<InstanceId>,
     /// When a leader was last heard; `None` if none was since the start.
     leader_heard_at: Option<Mono>,
+    /// The leader that was last heard, also if it leads no more.
+    last_leader: Option<InstanceId>,
     election_due_at: Mono,
     votes: IndexSet<InstanceId>,
     leader_state: Option<LeaderState>,
@@ -220,6 +222,7 @@
             role: Role::Unverified,
             leader: None,
             leader_heard_at: None,
+            last_leader: None,
             election_due_at: now,
             votes: IndexSet::new(),
             leader_state: None,
--- a/crates/hornbeam_control/src/raft/replication.rs
+++ b/crates/hornbeam_control/src/raft/replication.rs
@@ -133,6 +133,7 @@
             self.become_follower(now, term, out);
         }
         self.leader = Some(from.clone());
+        self.last_leader = Some(from.clone());
         self.leader_heard_at = Some(now);
         self.reset_election_timer(now);
         true
--- a/crates/hornbeam_control/tests/lost_quorum.rs
+++ b/crates/hornbeam_control/tests/lost_quorum.rs
@@ -12,9 +12,13 @@
 /// Time within which changes are decided again once all instances are up.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
-/// Controllers of which three vote, and the changes that operators send to them.
+/// Four controllers of which three vote, and the changes that operators send to them.
 struct Changes {
     cluster: ControlCluster,
+    /// Instances that are not gone for good.
+    machines: Vec<usize>,
+    /// Instance that replaces the next one that is gone for good.
+    next_machine: usize,
     version: u64,
     pending: Vec<(u64, u64)>,
     /// Highest version that was acknowledged.
@@ -22,13 +26,15 @@
 }
 
 impl Changes {
-    fn new(seed: u64, standby: usize) -> Self {
-        let mut cluster = ControlCluster::new(seed, 3, standby);
+    fn new(seed: u64) -> Self {
+        let mut cluster = ControlCluster::new(seed, 3, 9);
         cluster.repair =
             Some(RepairPolicy { target_voters: 3, voter_timeout: Duration::from_millis(2_500) });
         cluster.snapshot_interval_entries = 4;
-        for i in 0..3 + standby {
+        for i in 0..12 {
             cluster.crash(i);
+        }
+        for i in 0..4 {
             if i >= 3 {
                 cluster.make_voter(i);
             }
@@ -36,7 +42,9 @@
             cluster.start(i);
         }
         cluster.run_for(4 * SECOND);
-        Self { cluster, version: 0, pending: Vec::new(), acknowledged: 0 }
+        let machines = (0..4).collect();
+        let pending = Vec::new();
+        Self { cluster, machines, next_machine: 4, version: 0, pending, acknowledged: 0 }
     }
 
     /// Sends a change and advances time.
@@ -66,14 +74,13 @@
 
     /// Cuts the power of all instances but `spared`, and starts them again one after the other.
     fn lose_power(&mut self, spared: Option<usize>, outage: Duration) {
-        let count = self.cluster.nodes.len();
-        for i in (0..count).filter(|i| Some(*i) != spared) {
-            self.cluster.crash_with_messages(i);
+        for i in self.machines.iter().filter(|i| Some(**i) != spared) {
+            self.cluster.crash_with_messages(*i);
         }
         self.cluster.run_for(outage);
-        for i in 0..count {
-            if !self.cluster.is_up(i) {
-                self.cluster.start(i);
+        for i in &self.machines {
+            if !self.cluster.is_up(*i) {
+                self.cluster.start(*i);
                 self.cluster.run_for(SECOND / 10);
             }
         }
@@ -112,7 +119,7 @@
 /// Cuts off a voter until it is being replaced; then another voter loses its disk, the others lose
 /// power, and the cut heals.
 fn lose_disk_at(seed: u64, leader_lost: bool, after_cut: Duration) -> Option<String> {
-    let mut changes = Changes::new(seed, 1);
+    let mut changes = Changes::new(seed);
     changes.send_for(SECOND, SECOND / 50);
     let leader = changes.cluster.leader().expect("a leader");
     let members = changes.cluster.raft(leader).unwrap().membership().clone();
@@ -155,24 +162,32 @@
 /// Runs one day with hundreds of changes, during which one fault after the other is repaired.
 fn run_day(seed: u64) -> Option<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut changes = Changes::new(seed, 1);
+    let mut changes = Changes::new(seed);
     changes.cluster.jitter = Duration::from_millis(rng.random_range(0..8));
+    changes.cluster.loss_percent = rng.random_range(0..4);
     let gap = Duration::from_millis(rng.random_range(20..200));
     let mut log = Vec::new();
     for _ in 0..8 {
         let quiet = Duration::from_millis(rng.random_range(4_000..9_000));
         changes.send_for(quiet, gap);
-        let (fault, i) = (rng.random_range(0..6), rng.random_range(0..4));
+        let fault = rng.random_range(0..8);
+        let i = changes.machines[rng.random_range(0..4)];
         let i = if rng.random() { changes.cluster.leader().unwrap_or(i) } else { i };
         let time = Duration::from_millis(rng.random_range(300..6_000));
         log.push(format!("{} {fault} {i} {time:?}", changes.cluster.now));
         break_one(&mut changes, &mut rng, (fault, i, time), gap);
         changes.cluster.heal();
-        for j in (0..4).filter(|j| !changes.cluster.is_up(*j)).collect::<Vec<_>>() {
-            changes.cluster.start(j);
+        for j in &changes.machines {
+            if !changes.cluster.is_up(*j) {
+                changes.cluster.start(*j);
+            }
         }
     }
     changes.send_for(5 * SECOND, gap);
+    // At the end one disk is lost, and all others lose power with it.
+    let last = changes.machines[rng.random_range(0..4)];
+    changes.cluster.crash_with_messages(last);
+    changes.cluster.wipe(last);
     changes.lose_power(None, SECOND);
     let problems = changes.problems()?;
     Some(format!("seed {seed}: {problems}\n{}", log.join("\n")))
@@ -207,7 +222,8 @@
             while changes.cluster.now < end && !(early && changes.is_replacing()) {
                 changes.send(Duration::from_millis(2));
             }
-            let lost = (i + rng.random_range(1..4)) % 4;
+            let others: Vec<usize> = changes.machines.iter().copied().filter(|m| *m != i).collect();
+            let lost = others[rng.random_range(0..3)];
             changes.cluster.crash_with_messages(lost);
             changes.cluster.wipe(lost);
             changes.cluster.start(lost);
@@ -219,6 +235,23 @@
             changes.cluster.wipe(i);
             changes.lose_power(None, time / 3);
         }
+        5 if changes.next_machine < changes.cluster.nodes.len() => {
+            // One is gone for good, and an empty one comes at another address.
+            changes.cluster.crash_with_messages(i);
+            changes.machines.retain(|m| *m != i);
+            changes.send_for(time / 4, gap);
+            changes.cluster.make_voter(changes.next_machine);
+            changes.cluster.start(changes.next_machine);
+            changes.machines.push(changes.next_machine);
+            changes.next_machine += 1;
+        }
+        6 => {
+            // Only a minority has the newest changes when the others lose power.
+            changes.cluster.isolate(i);
+            changes.send_for(time, gap);
+            changes.cluster.heal();
+            changes.lose_power(Some(i), SECOND);
+        }
         _ => changes.lose_power(None, time / 3),
     }
 }
--- a/crates/hornbeam_control/tests/repairs.rs
+++ b/crates/hornbeam_control/tests/repairs.rs
@@ -112,6 +112,27 @@
     }
 }
 
+/// The next loss may come four seconds after this one.
+#[test]
+fn lost_leader_replaced() {
+    let mut late = Vec::new();
+    for seed in 0..60 {
+        let mut cluster = start_cluster(seed, 3, 1);
+        commit_table(&mut cluster, 7);
+        let lost = cluster.leader().unwrap();
+        cluster.crash(lost);
+        cluster.run_for(4 * SECOND);
+        let standby = cluster.nodes[3].name.clone();
+        let leader = cluster.leader().and_then(|l| cluster.raft(l));
+        let members = leader.map(|r| r.membership().clone()).unwrap_or_default();
+        if members.replacement.is_some() || !members.voters.contains_key(&standby) {
+            late.push(seed);
+        }
+        assert_eq!(cluster.violations, Vec::<String>::new(), "seed {seed}");
+    }
+    assert_eq!(late, Vec::<u64>::new(), "of 60 seeds");
+}
+
 #[test]
 fn wiped_during_outage() {
     for seed in 0..20 {
