Numbers of slots and connections from outside do not overflow

What callers saw: nothing in a release build but a server with one connection; a build that checks arithmetic ends as soon as an entry is told of a server that states 4,294,967,295 slots, and again after each start (another operator's report). Cause: the slots of a heartbeat and the connections of a service were multiplied in 32 bits. Evidence: odd_entries among_servers fails before: the entry has ended with 'attempt to multiply with overflow' and does not follow. Change: the products saturate or are 64 bits wide, and a zone without a sender is not divided by. Result: odd_entries and platform/decoding odd_heartbeats pass. Nesting, ports and larger numbers were looked for and are refused with 400.

--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -153,13 +153,14 @@
     /// server accepts.
     fn share_of(&self, position: usize, slots: u32, part: f64) -> u32 {
         let share = self.usable_connections(position) / self.entries.max(1);
-        let work = f64::from(slots.max(1) * ATTEMPTS_PER_SLOT) * part;
+        let work = f64::from(slots.max(1).saturating_mul(ATTEMPTS_PER_SLOT)) * part;
         share.min(work.ceil() as u32).max(1)
     }
 
     /// Returns the connections to a server of the service that all entries together use.
     pub(super) fn usable_connections(&self, position: usize) -> u32 {
-        self.services[position].max_connections * USABLE_CONNECTIONS_PERCENT / 100
+        let most = u64::from(self.services[position].max_connections);
+        (most * u64::from(USABLE_CONNECTIONS_PERCENT) / 100) as u32
     }
 
     pub(super) fn on_table(&mut self, now: Mono, table: Arc<Routing>, out: &mut Vec<Output>) {
--- a/crates/hornbeam_route/src/engine/zone_shares.rs
+++ b/crates/hornbeam_route/src/engine/zone_shares.rs
@@ -52,6 +52,6 @@
         let gathered = spill.gathered.get(&service).filter(|(_, until)| now <= *until);
         let senders = gathered.map_or(u32::MAX, |(senders, _)| *senders);
         let senders = senders.min(self.peers.zone_entries() as u32);
-        share.max((half / senders).min(slots.max(1) * ATTEMPTS_PER_SLOT))
+        share.max((half / senders.max(1)).min(slots.max(1).saturating_mul(ATTEMPTS_PER_SLOT)))
     }
 }
