A former voter does not vote before its disk is verified

Cause: since one objection makes a starting voter a learner, it could grant its vote before those who know better had the time to say that its disk is an outdated copy; until then only a verified voter did so. Seen in reading; no test shows it. Change: an instance that is a voter by its own log and was objected to grants no vote until its disk is verified. A standby that its own log does not list yet votes as before, since a new voter may be needed for a majority.

--- a/crates/hornbeam_control/src/raft/election.rs
+++ b/crates/hornbeam_control/src/raft/election.rs
@@ -66,6 +66,7 @@
         out: &mut Vec<RaftOutput>,
     ) {
         let granted = next_term > self.hard_state.term
+            && !self.must_not_vote()
             && !self.has_recent_leader(now)
             && self.is_up_to_date(last);
         self.send(from, ControlBody::PreVoteReply { next_term, granted }, out);
@@ -131,7 +132,7 @@
         leadership_transfer: bool,
         out: &mut Vec<RaftOutput>,
     ) {
-        if self.has_recent_leader(now) && !leadership_transfer {
+        if self.must_not_vote() || (self.has_recent_leader(now) && !leadership_transfer) {
             return;
         }
         if term > self.hard_state.term {
--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -272,6 +272,12 @@
         count > 0 && (!is_known || 2 * count > self.members.voters.len())
     }
 
+    /// Returns true if this instance was a voter by its own log and nobody has verified its disk since an
+    /// objection: it may be an outdated copy, which must not help to elect a leader without its entries.
+    pub(super) fn must_not_vote(&self) -> bool {
+        self.identity.refusal == Some(FOREIGN_DISK) && !self.is_blank() && self.is_voter()
+    }
+
     /// Records that this instance may not vote with its disk. With a foreign disk it can still
     /// become a learner.
     fn refuse(&mut self, reason: &'static str, out: &mut Vec<RaftOutput>) {
