Only a silent standby is passed over

Cause: a replacement that ended because the silent voter had returned counted against its standby, which was ready. Change: a standby counts as given up only if it does not reply.

--- a/crates/hornbeam_control/src/raft/repair.rs
+++ b/crates/hornbeam_control/src/raft/repair.rs
@@ -60,7 +60,8 @@
     }
 
     fn give_up(&mut self, now: Mono, replacement: Replacement, out: &mut Vec<RaftOutput>) {
-        if let Some(leader_state) = &mut self.leader_state {
+        let is_silent = !self.replies(now, &replacement.incoming);
+        if let Some(leader_state) = self.leader_state.as_mut().filter(|_| is_silent) {
             leader_state.given_up.insert(replacement.incoming, now);
         }
         let voters = self.members.voters.clone();
