Tests of repairs found their log in one place; two comments reworded

former_voters and lost_quorum started their four controllers with the same lines; ControlCluster::with_repair does it.

--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -272,7 +272,7 @@
         count > 0 && (!is_known || 2 * count > self.members.voters.len())
     }
 
-    /// Returns true if this instance was a voter by its own log and nobody has verified its disk since an
+    /// Returns true if this instance is a voter by its own log and its disk has not been verified since an
     /// objection: it may be an outdated copy, which must not help to elect a leader without its entries.
     pub(super) fn must_not_vote(&self) -> bool {
         self.identity.refusal == Some(FOREIGN_DISK) && !self.is_blank() && self.is_voter()
--- a/crates/hornbeam_control/src/raft/proposal.rs
+++ b/crates/hornbeam_control/src/raft/proposal.rs
@@ -216,7 +216,7 @@
         let mut voters = self.members.voters.clone();
         let listed = voters.get(incoming).copied();
         if listed == Some(Some(*disk)) {
-            // Nobody is left out if the outgoing voter replies again and the incoming one does not.
+            // The outgoing voter stays if it replies again and the incoming one no longer does.
             let surplus = if !self.replies(now, incoming) && self.replies(now, outgoing) {
                 incoming
             } else {
--- a/crates/hornbeam_control/tests/former_voters.rs
+++ b/crates/hornbeam_control/tests/former_voters.rs
@@ -1,9 +1,9 @@
-//! Guards against former voters that cannot follow a leader with a new disk, so that the place of a lost
-//! voter stays empty.
+//! Guards against former voters that cannot follow a leader with a new disk, and standbys that do not
+//! catch up and are tried for ever, so that the place of a lost voter stays empty.
 
 use std::time::Duration;
 
-use hornbeam_control::{ProposalOutcome, RepairPolicy, Role};
+use hornbeam_control::{ProposalOutcome, Role};
 use hornbeam_model::TableVersion;
 use hornbeam_testkit::control::ControlCluster;
 
@@ -12,25 +12,6 @@
 /// voter counts as lost, and as long again.
 const REPAIR_TIME: Duration = SECOND.saturating_mul(5);
 
-fn start_cluster(seed: u64) -> ControlCluster {
-    let mut cluster = ControlCluster::new(seed, 3, 2);
-    cluster.repair =
-        Some(RepairPolicy { target_voters: 3, voter_timeout: Duration::from_millis(2_500) });
-    cluster.snapshot_interval_entries = 8;
-    for i in 0..5 {
-        cluster.crash(i);
-    }
-    for i in 0..4 {
-        if i >= 3 {
-            cluster.make_voter(i);
-        }
-        cluster.wipe(i);
-        cluster.start(i);
-    }
-    cluster.run_for(4 * SECOND);
-    cluster
-}
-
 fn commit_table(cluster: &mut ControlCluster, version: u64) {
     let leader = cluster.leader().expect("a leader");
     let number = cluster.submit_table(leader, version);
@@ -47,7 +28,7 @@
 /// Returns controllers of which one, the second value, was replaced while it was cut off, and of whose
 /// voters one, the third value, has a disk since that the former voter does not know, and leads.
 fn former_voter(seed: u64) -> (ControlCluster, usize, usize) {
-    let mut cluster = start_cluster(seed);
+    let mut cluster = ControlCluster::with_repair(seed, 1, 8);
     commit_table(&mut cluster, 1);
     let leader = cluster.leader().unwrap();
     let former = (0..3).find(|i| *i != leader).unwrap();
--- a/crates/hornbeam_control/tests/lost_quorum.rs
+++ b/crates/hornbeam_control/tests/lost_quorum.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hornbeam_control::{ProposalOutcome, RepairPolicy};
+use hornbeam_control::ProposalOutcome;
 use hornbeam_testkit::control::ControlCluster;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -27,21 +27,7 @@
 
 impl Changes {
     fn new(seed: u64) -> Self {
-        let mut cluster = ControlCluster::new(seed, 3, 9);
-        cluster.repair =
-            Some(RepairPolicy { target_voters: 3, voter_timeout: Duration::from_millis(2_500) });
-        cluster.snapshot_interval_entries = 4;
-        for i in 0..12 {
-            cluster.crash(i);
-        }
-        for i in 0..4 {
-            if i >= 3 {
-                cluster.make_voter(i);
-            }
-            cluster.wipe(i);
-            cluster.start(i);
-        }
-        cluster.run_for(4 * SECOND);
+        let cluster = ControlCluster::with_repair(seed, 8, 4);
         let machines = (0..4).collect();
         let pending = Vec::new();
         Self { cluster, machines, next_machine: 4, version: 0, pending, acknowledged: 0 }
--- a/crates/hornbeam_testkit/src/control/mod.rs
+++ b/crates/hornbeam_testkit/src/control/mod.rs
@@ -181,6 +181,25 @@
         cluster
     }
 
+    /// Founds a log of three voters and a standby that replace voters on their own. `spare` further
+    /// instances are down and have no disk.
+    pub fn with_repair(seed: u64, spare: usize, snapshot_interval_entries: u64) -> Self {
+        let mut cluster = Self::new(seed, 3, 1 + spare);
+        let voter_timeout = Duration::from_millis(2_500);
+        cluster.repair = Some(RepairPolicy { target_voters: 3, voter_timeout });
+        cluster.snapshot_interval_entries = snapshot_interval_entries;
+        for i in 0..cluster.nodes.len() {
+            cluster.crash(i);
+        }
+        cluster.make_voter(3);
+        for i in 0..4 {
+            cluster.wipe(i);
+            cluster.start(i);
+        }
+        cluster.run_for(Duration::from_secs(4));
+        cluster
+    }
+
     /// Assigns the control role and an empty disk to an instance, effective at its next start.
     pub fn make_voter(&mut self, i: NodeIdx) {
         self.nodes[i].is_voter = true;
