--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -345,8 +345,7 @@
         if self.role == Role::Unverified {
             return;
         }
-        // A learner may know the voters of long ago only. Its acknowledgments do not count, so it follows
-        // whoever leads.
+        // A learner may know the voters of long ago only, so it follows whoever leads.
         let follows = self.role == Role::Learner
             && matches!(body, ControlBody::Append { .. } | ControlBody::Snapshot { .. });
         if !follows && !self.is_known_disk(from, disk) {
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! - [`team_usage`]: use of the teams' quotas at the entries
 //! - [`zone_orders`]: orders of operators about availability zones
 //! - [`control_log`]: the replicated log, and routing tables that are proposed, committed and read
+//! - [`log_status`]: role, leader and voters of that log, for the structured log and the metrics
 
 mod control_log;
 mod log_status;
