--- a/crates/hornbeam_control/src/raft/repair.rs
+++ b/crates/hornbeam_control/src/raft/repair.rs
@@ -14,7 +14,7 @@
 use super::{ELECTION_TIMEOUT_MIN, Raft, RaftOutput};
 
 /// Maximum age of the last hello of a standby instance that may become a voter.
-const MAX_STANDBY_HELLO_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_STANDBY_HELLO_AGE: Duration = Duration::from_millis(1_500);
 
 /// Policy for adding and replacing voters without an operator.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -25,6 +25,12 @@
     pub voters: IntGauge,
     /// 1 while a voter is being replaced.
     pub replacing_voter: IntGauge,
+    /// Voters whose disks are known to be lost.
+    pub lost_voters: IntGauge,
+    /// At the leader, voters that may be lost before nothing can be decided; 0 elsewhere.
+    pub spare_voters: IntGauge,
+    /// 1 while a leader of the control log is known.
+    pub leader_known: IntGauge,
     /// Index of the last log entry that this controller knows to be committed.
     pub committed_index: IntGauge,
 }
@@ -54,6 +60,18 @@
                 "hornbeam_controller_replacing_voter",
                 "1 while a voter is being replaced.",
             ),
+            lost_voters: gauge(
+                "hornbeam_controller_lost_voters",
+                "Voters whose disks are known to be lost.",
+            ),
+            spare_voters: gauge(
+                "hornbeam_controller_spare_voters",
+                "At the leader, voters that may be lost before nothing can be decided.",
+            ),
+            leader_known: gauge(
+                "hornbeam_controller_leader_known",
+                "1 while a leader of the control log is known.",
+            ),
             committed_index: gauge(
                 "hornbeam_controller_committed_index",
                 "Last log entry known to be committed.",
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -307,6 +307,11 @@
         let raft = self.raft();
         let voters = raft.map_or(0, |r| r.membership().voters.len());
         self.metrics.voters.set(voters as i64);
+        let lost = raft.map_or(0, |r| r.lost_voters(now).len());
+        self.metrics.lost_voters.set(lost as i64);
+        let spare = raft.and_then(|r| r.spare_voters(now));
+        self.metrics.spare_voters.set(spare.map_or(0, |n| n as i64));
+        self.metrics.leader_known.set(i64::from(self.leader().is_some()));
         let replacing = raft.is_some_and(|r| r.membership().replacement.is_some());
         self.metrics.replacing_voter.set(i64::from(replacing));
         self.metrics.committed_index.set(raft.map_or(0, |r| r.commit_index().0) as i64);
