--- a/crates/hornbeam_control/src/raft/election.rs
+++ b/crates/hornbeam_control/src/raft/election.rs
@@ -314,7 +314,7 @@
                 match_index: LogIndex::default(),
                 acked_round: 0,
                 last_reply_at: now,
-                snapshot_offset: None,
+                transfer: None,
                 in_flight: false,
                 sent_at: Mono::default(),
             });
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -27,7 +27,7 @@
 mod types;
 mod zone_orders;
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use hornbeam_model::{InstanceId, Mono};
@@ -125,8 +125,8 @@
     acked_round: u64,
     /// Time of the last reply; before the first one, when tracking began.
     last_reply_at: Mono,
-    /// Snapshot bytes that it has received, while a snapshot is transferred.
-    snapshot_offset: Option<u64>,
+    /// Snapshot transfer under way.
+    transfer: Option<snapshot::OutgoingSnapshot>,
     /// True while entries or a snapshot chunk are sent and not acknowledged.
     in_flight: bool,
     /// When entries or a snapshot chunk were last sent.
@@ -175,6 +175,8 @@
     /// Metadata of the latest snapshot.
     snapshot: SnapshotMeta,
     snapshot_data: Arc<Vec<u8>>,
+    /// A snapshot that is being sent.
+    encoded_snapshot: Option<Weak<snapshot::EncodedSnapshot>>,
     /// Membership as of the last log entry, committed or not.
     members: Membership,
     /// Index of the entry that holds `members`; 0 if it comes from a snapshot or the settings.
@@ -221,6 +223,7 @@
             applied_index: recovered.snapshot.last.index,
             snapshot: recovered.snapshot,
             snapshot_data: Arc::new(recovered.snapshot_data),
+            encoded_snapshot: None,
             state,
             log,
             role: Role::Unverified,
--- a/crates/hornbeam_control/src/raft/replication.rs
+++ b/crates/hornbeam_control/src/raft/replication.rs
@@ -86,8 +86,7 @@
             if !awaits_ack {
                 progress.in_flight = true;
                 progress.sent_at = now;
-                let offset = progress.snapshot_offset.unwrap_or(0);
-                self.send_snapshot(to, offset, round, out);
+                self.send_snapshot(to, round, out);
             }
             return;
         }
@@ -262,7 +261,8 @@
         if success {
             progress.match_index = progress.match_index.max(matched.min(last));
             progress.next_index = LogIndex(progress.next_index.0.max(progress.match_index.0 + 1));
-            progress.snapshot_offset = None;
+            let next_index = progress.next_index;
+            progress.transfer.take_if(|t| t.snapshot.last.index < next_index);
             let (matched, disk) = (progress.match_index, progress.disk);
             self.record_acknowledged(disk, matched);
             self.advance_commit(now, out);
--- a/crates/hornbeam_control/src/raft/snapshot.rs
+++ b/crates/hornbeam_control/src/raft/snapshot.rs
@@ -1,6 +1,6 @@
 //! Log compaction and snapshot transfer.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 use hornbeam_model::{InstanceId, Mono};
 use hornbeam_protocol::control::{Command, ControlBody, LogIndex, LogPos, Membership};
@@ -18,13 +18,33 @@
 /// memory of the log to a few megabytes.
 const MAX_LOGGED_ROUTES: usize = 8_192;
 
-/// Encoded form of a snapshot in a transfer.
+/// Multiple of the usual size of the log up to which a snapshot is put off while the last one is being
+/// transferred, so that the receiver gets the entries after it instead of the next snapshot.
+const TRANSFER_LOG_FACTOR: usize = 4;
+
+/// Content of a snapshot in a transfer.
 #[derive(Deserialize, Serialize)]
-struct SnapshotTransfer {
+struct SnapshotContent {
     members: Membership,
     data: Vec<u8>,
 }
 
+/// Snapshot as it is sent, encoded once for all chunks and receivers.
+#[derive(Debug)]
+pub(super) struct EncodedSnapshot {
+    pub last: LogPos,
+    bytes: Vec<u8>,
+}
+
+/// Transfer of a snapshot to one instance. A later snapshot does not replace one of which a part has
+/// arrived.
+#[derive(Clone, Debug)]
+pub(super) struct OutgoingSnapshot {
+    pub snapshot: Arc<EncodedSnapshot>,
+    /// Bytes that the receiver has.
+    received: u64,
+}
+
 /// One chunk of a snapshot transfer.
 #[derive(Debug)]
 pub(super) struct SnapshotChunk {
@@ -47,9 +67,10 @@
     /// Takes a snapshot once enough entries were applied since the last one, or the routing tables
     /// in the log hold at least [`MAX_LOGGED_ROUTES`] routes.
     pub(super) fn compact_if_due(&mut self, out: &mut Vec<RaftOutput>) {
-        let due = self.applied_index.0
-            >= self.snapshot.last.index.0 + self.params.snapshot_interval_entries;
-        if !due && self.log.table_routes() < MAX_LOGGED_ROUTES {
+        let factor = if self.is_transferring() { TRANSFER_LOG_FACTOR } else { 1 };
+        let max_entries = self.params.snapshot_interval_entries * factor as u64;
+        let due = self.applied_index.0 >= self.snapshot.last.index.0 + max_entries;
+        if !due && self.log.table_routes() < MAX_LOGGED_ROUTES * factor {
             return;
         }
         let index = self.applied_index;
@@ -85,28 +106,48 @@
         }))));
     }
 
-    /// Sends the chunk of the latest snapshot that begins at `offset`.
-    pub(super) fn send_snapshot(
-        &self,
-        to: &InstanceId,
-        offset: u64,
-        round: u64,
-        out: &mut Vec<RaftOutput>,
-    ) {
-        let transfer = SnapshotTransfer {
+    /// Returns true if an instance has received a part of the latest snapshot.
+    fn is_transferring(&self) -> bool {
+        let Some(leader_state) = &self.leader_state else { return false };
+        let mut transfers = leader_state.progress.values().filter_map(|p| p.transfer.as_ref());
+        transfers.any(|t| t.received > 0 && t.snapshot.last == self.snapshot.last)
+    }
+
+    /// Returns the latest snapshot as it is sent.
+    fn encoded_snapshot(&mut self) -> Option<Arc<EncodedSnapshot>> {
+        if let Some(encoded) = self.encoded_snapshot.as_ref().and_then(Weak::upgrade)
+            && encoded.last == self.snapshot.last
+        {
+            return Some(encoded);
+        }
+        let content = SnapshotContent {
             members: self.snapshot.members.clone(),
             data: self.snapshot_data.to_vec(),
         };
-        let Ok(bytes) = postcard::to_allocvec(&transfer) else { return };
-        let start = (offset as usize).min(bytes.len());
+        let bytes = postcard::to_allocvec(&content).ok()?;
+        let encoded = Arc::new(EncodedSnapshot { last: self.snapshot.last, bytes });
+        self.encoded_snapshot = Some(Arc::downgrade(&encoded));
+        Some(encoded)
+    }
+
+    /// Sends the next chunk of the snapshot of which the receiver has a part, else of the latest one.
+    pub(super) fn send_snapshot(&mut self, to: &InstanceId, round: u64, out: &mut Vec<RaftOutput>) {
+        let Some(snapshot) = self.encoded_snapshot() else { return };
+        let Some(leader_state) = &mut self.leader_state else { return };
+        let Some(progress) = leader_state.progress.get_mut(to) else { return };
+        let begun = progress.transfer.take().filter(|t| t.received > 0);
+        let transfer = begun.unwrap_or(OutgoingSnapshot { snapshot, received: 0 });
+        let bytes = &transfer.snapshot.bytes;
+        let start = (transfer.received as usize).min(bytes.len());
         let end = (start + SNAPSHOT_CHUNK_BYTES).min(bytes.len());
         let body = ControlBody::Snapshot {
-            last: self.snapshot.last,
+            last: transfer.snapshot.last,
             total: bytes.len() as u64,
             offset: start as u64,
             data: bytes[start..end].to_vec(),
             round,
         };
+        progress.transfer = Some(transfer);
         self.send(to, body, out);
     }
 
@@ -153,7 +194,7 @@
     /// Replaces the state with a received snapshot. Returns false and changes nothing if it cannot be
     /// decoded.
     fn install_snapshot(&mut self, last: LogPos, bytes: &[u8], out: &mut Vec<RaftOutput>) -> bool {
-        let Ok(transfer) = postcard::from_bytes::<SnapshotTransfer>(bytes) else { return false };
+        let Ok(transfer) = postcard::from_bytes::<SnapshotContent>(bytes) else { return false };
         let Ok(state) = decode_state(&transfer.data) else { return false };
         if self.log.term_at(last.index) == Some(last.term) {
             self.log.compact(last);
@@ -182,11 +223,14 @@
         last: LogPos,
         out: &mut Vec<RaftOutput>,
     ) {
-        let is_current = last == self.snapshot.last;
         let Some(leader_state) = &mut self.leader_state else { return };
         let Some(progress) = leader_state.progress.get_mut(from) else { return };
+        // A reply about another snapshot is late.
+        let Some(transfer) = progress.transfer.as_mut().filter(|t| t.snapshot.last == last) else {
+            return;
+        };
+        transfer.received = received;
         progress.in_flight = false;
-        progress.snapshot_offset = Some(if is_current { received } else { 0 });
         self.replicate_to(now, from, false, out);
     }
 }
--- a/crates/hornbeam_testkit/src/control/mod.rs
+++ b/crates/hornbeam_testkit/src/control/mod.rs
@@ -343,6 +343,12 @@
         self.propose(i, id, proposal)
     }
 
+    /// Submits any proposal to instance `i` and returns the proposal number.
+    pub fn submit_proposal(&mut self, i: NodeIdx, proposal: Proposal) -> u64 {
+        let id: ChangeId = format!("proposal-{}", self.next_proposal).parse().expect("a valid id");
+        self.propose(i, id, proposal)
+    }
+
     fn propose(&mut self, i: NodeIdx, id: ChangeId, proposal: Proposal) -> u64 {
         let number = self.next_proposal;
         self.next_proposal += 1;
