The soak mixes two builds, and ends everything at one moment

Every other seed ends with the loss of all programs for up to 3 s; it has the generator of the later faults, so that the others of a seed stay as they are.

--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -57,6 +57,7 @@
     /// Path of the settings file.
     pub settings: PathBuf,
     data: PathBuf,
+    starts: usize,
     /// Path of the log file; restarts append to it.
     pub log: PathBuf,
     child: Option<Child>,
@@ -66,8 +67,11 @@
 pub struct Fleet {
     /// Controllers, followed by entries.
     pub programs: Vec<Program>,
-    binary: PathBuf,
+    /// Builds of the program. Neighbours run different ones, and each restart takes the next.
+    binaries: Vec<PathBuf>,
     seeds: Vec<SocketAddr>,
+    /// Lets founders start a log although entries hold a table; applies to later starts.
+    pub found_anew: bool,
     /// Links between entries and servers.
     pub entry_links: EntryLinks,
     /// Proxies in front of the programs; they release their addresses with the fleet.
@@ -75,14 +79,15 @@
 }
 
 impl Fleet {
-    /// Creates a fleet with its files in `folder` and addresses in 127.0.`net`.0/24, and starts it.
+    /// Creates a fleet of one or more builds with its files in `folder` and addresses in
+    /// 127.0.`net`.0/24, and starts it.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound, a file cannot be written or the binary
     /// cannot be run.
     pub async fn start(
-        binary: &Path,
+        binaries: &[PathBuf],
         folder: &Path,
         net: u8,
         entries: usize,
@@ -93,8 +98,9 @@
         let entry_links = EntryLinks::default();
         let mut fleet = Self {
             programs: Vec::new(),
-            binary: binary.to_owned(),
+            binaries: binaries.to_vec(),
             seeds,
+            found_anew: false,
             entry_links,
             proxies: JoinSet::new(),
         };
@@ -143,6 +149,7 @@
             server_links: Links::default(),
             settings: folder.join(format!("{name}.yaml")),
             data: folder.join(format!("{name}.data")),
+            starts: 0,
             log: folder.join(format!("{name}.log")),
             name,
             child: None,
@@ -159,8 +166,10 @@
         let program = &mut self.programs[i];
         std::fs::write(&program.settings, text)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&program.log)?;
+        let binary = &self.binaries[(i + program.starts) % self.binaries.len()];
+        program.starts += 1;
         let role = if program.kind == ProgramKind::Entry { "entry" } else { "controller" };
-        let child = Command::new(&self.binary)
+        let child = Command::new(binary)
             .arg(role)
             .arg(&program.settings)
             .stdin(Stdio::null())
@@ -203,9 +212,11 @@
             ),
             ProgramKind::Controller => format!(
                 "{common}api: {}:{API_PORT}\ndata_dir: {}\nfounding: {founding}\n\
-                 tolerated_losses: 1\n",
+                 tolerated_losses: 1\n{}",
                 program.bind,
-                program.data.display()
+                program.data.display(),
+                // Not known to the builds before.
+                if self.found_anew { "found_anew: true\n" } else { "" },
             ),
         }
     }
--- a/crates/hornbeam_soak/src/main.rs
+++ b/crates/hornbeam_soak/src/main.rs
@@ -16,6 +16,9 @@
     /// path of the hornbeamrun program
     #[argh(option, default = "PathBuf::from(\"target/release/hornbeamrun\")")]
     binary: PathBuf,
+    /// path of another build that runs beside it: neighbours and restarts alternate between both
+    #[argh(option)]
+    other_binary: Option<PathBuf>,
     /// first seed
     #[argh(option, default = "1")]
     first: u64,
@@ -62,7 +65,10 @@
     while next < end || !tasks.is_empty() {
         while next < end && (tasks.len() as u64) < args.jobs.max(1) {
             let options = Options {
-                binary: args.binary.clone(),
+                binaries: [args.binary.clone()]
+                    .into_iter()
+                    .chain(args.other_binary.clone())
+                    .collect(),
                 seed: next,
                 net: FIRST_NET + (next % 200) as u8,
                 length: Duration::from_secs(args.seconds),
--- a/crates/hornbeam_soak/src/plan.rs
+++ b/crates/hornbeam_soak/src/plan.rs
@@ -40,6 +40,11 @@
     },
     /// Kills and restarts every controller.
     KillControllers,
+    /// Ends all programs at the same moment and starts them again after the outage.
+    LosePower {
+        /// Time for which nothing runs.
+        outage: Duration,
+    },
     /// Sets the state of the links to a controller for a time.
     Links {
         /// Index of the program or server among those of its kind.
@@ -145,8 +150,8 @@
     plan
 }
 
-/// Draws a raised limit and servers that state falsely that they have not run requests. They have a
-/// generator of their own, so that the other faults of a seed stay as they are.
+/// Draws a raised limit, servers that state falsely that they have not run requests, and a loss of power of
+/// everything. They have a generator of their own, so that the other faults of a seed stay as they are.
 fn draw_protocol_faults(seed: u64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = SmallRng::seed_from_u64(!seed);
     // Late, so that connections from before are still open when callers use the raised limit.
@@ -158,6 +163,11 @@
         plan.push((at, Fault::Server { which, fault: RoutedFault::FalseRefusal, time }));
         at += Duration::from_millis(rng.random_range(500..3_000));
     }
+    if rng.random_bool(0.5) {
+        // Comes last, since the fleet tolerates no further fault of a controller before it has recovered.
+        let outage = Duration::from_millis(rng.random_range(0..3_000));
+        plan.push((length + Duration::from_millis(300), Fault::LosePower { outage }));
+    }
     plan
 }
 
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -41,8 +41,8 @@
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Path of the hornbeamrun program.
-    pub binary: PathBuf,
+    /// Paths of the builds of the hornbeamrun program, at least one.
+    pub binaries: Vec<PathBuf>,
     /// Seed from which the faults are drawn.
     pub seed: u64,
     /// Third octet of the loopback addresses; concurrent runs need different ones.
@@ -98,7 +98,8 @@
     /// Returns an error if a program or server cannot be started or is not ready in time.
     pub async fn start(options: &Options, folder: &Path) -> Result<Self, String> {
         let (entries, controllers) = options.programs;
-        let fleet = Fleet::start(&options.binary, folder, options.net, entries, controllers).await;
+        let fleet =
+            Fleet::start(&options.binaries, folder, options.net, entries, controllers).await;
         let fleet = fleet.map_err(|e| format!("cannot start the fleet: {e}"))?;
         let apis = Arc::new(fleet.apis());
         let mut run = Self {
@@ -360,6 +361,18 @@
                 start_program(&mut run, i);
             }
         }
+        Fault::LosePower { outage } => {
+            for i in 0..run.fleet.programs.len() {
+                run.fleet.programs[i].signal(Signal::KILL);
+            }
+            for i in 0..run.fleet.programs.len() {
+                run.fleet.programs[i].kill().await;
+            }
+            tokio::time::sleep(outage).await;
+            for i in 0..run.fleet.programs.len() {
+                restart_program(&mut run, i, false).await;
+            }
+        }
         Fault::Links { which, state, time } => {
             return Some(set_links_for(shared, &run, controllers[which], state, time));
         }
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -20,7 +20,7 @@
 
 fn options(net: u8, seed: u64, programs: (usize, usize)) -> Options {
     Options {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_hornbeamrun")),
+        binaries: vec![PathBuf::from(env!("CARGO_BIN_EXE_hornbeamrun"))],
         seed,
         net,
         length: Duration::from_secs(5),
--- a/crates/hornbeamrun/tests/odd_entries.rs
+++ b/crates/hornbeamrun/tests/odd_entries.rs
@@ -15,7 +15,7 @@
 
 async fn stage(net: u8, folder: &Path) -> FleetRun {
     let options = Options {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_hornbeamrun")),
+        binaries: vec![PathBuf::from(env!("CARGO_BIN_EXE_hornbeamrun"))],
         seed: 0,
         net,
         length: Duration::from_secs(5),
