No second log is founded unasked beside an entry's table

What callers and operators saw: after all disks of the control log were lost, founders that still had founding: true started a second log. It acknowledged tables of versions up to the entries', which no entry used, and a standby's old log was ignored if it came later. Cause: founders asked each other only, and started at once when all were blank. Change: founders wait a second for objections, of all controllers that they know and of entries; an entry states its version by the request for a table whenever a controller's is lower, which builds before answer with nothing. A leader refuses a table of a version up to the entries' with 503 instead of acknowledging it. found_anew lets an operator start the log anyway. A founder that must not found reports that once, no longer at every hello. The first start of a fleet takes a second longer.

--- a/crates/hornbeam_control/benches/recovery.rs
+++ b/crates/hornbeam_control/benches/recovery.rs
@@ -30,6 +30,7 @@
         seed: 1,
         snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
         repair: None,
+        founding_wait: std::time::Duration::ZERO,
     };
     let folder = Folder::open(path)?;
     Ok(Voter::open(now, folder, params, DiskId(1), &mut Vec::new())?)
--- a/crates/hornbeam_control/src/raft/identity.rs
+++ b/crates/hornbeam_control/src/raft/identity.rs
@@ -13,7 +13,8 @@
 //! not list only if the log of the starting voter ends before that membership. A log that reaches
 //! further contains the membership, if that was committed, and possibly a later one.
 //!
-//! A new log is started only if every initial voter is present and has a blank disk.
+//! A new log is started only if every initial voter is present and has a blank disk, and if during the
+//! founding wait nobody has shown a log or a configuration of before.
 
 use std::time::Duration;
 
@@ -99,7 +100,7 @@
     pub non_voters: IndexMap<InstanceId, NonVoter>,
     /// Instances that may have the control role; may include voters.
     pub contacts: Vec<InstanceId>,
-    /// True if another instance has a configuration later than the initial one.
+    /// True if another instance has a configuration later than that of an empty log.
     pub config_exists: bool,
     /// Why this instance may not vote with its disk.
     pub refusal: Option<&'static str>,
@@ -107,7 +108,7 @@
 
 impl Raft {
     /// Returns true if this disk has never been part of a control log.
-    pub(super) fn is_blank(&self) -> bool {
+    pub fn is_blank(&self) -> bool {
         self.log.last().index == LogIndex::default() && self.hard_state.term.0 == 0
     }
 
@@ -256,7 +257,7 @@
         }
         if self.is_foreign(now) {
             self.refuse(FOREIGN_DISK, out);
-        } else if is_refused && self.is_voter() {
+        } else if is_refused && self.is_voter() && !self.must_not_found() {
             self.identity.refusal = None;
             self.role = Role::Unverified;
         }
@@ -278,6 +279,11 @@
         self.identity.refusal == Some(FOREIGN_DISK) && !self.is_blank() && self.is_voter()
     }
 
+    /// Returns true if a log that this instance started would hide an earlier configuration.
+    fn must_not_found(&self) -> bool {
+        self.is_blank() && self.identity.config_exists
+    }
+
     /// Records that this instance may not vote with its disk. With a foreign disk it can still
     /// become a learner.
     fn refuse(&mut self, reason: &'static str, out: &mut Vec<RaftOutput>) {
@@ -329,7 +335,7 @@
 
     /// Lets a blank initial voter take part once all initial voters are present and blank.
     fn verify_blank(&mut self, now: Mono, out: &mut Vec<RaftOutput>) {
-        if self.identity.config_exists {
+        if self.must_not_found() {
             self.refuse(FOREIGN_DISK, out);
             return;
         }
@@ -344,6 +350,10 @@
             self.identity.blank_voters.contains(v) || self.identity.known_by.contains(v)
         };
         let has_start = |v: &InstanceId| self.boots.contains_key(v);
+        let first_hello_at = self.identity.first_hello_at;
+        if first_hello_at.is_none_or(|at| now.since(at) < self.params.founding_wait) {
+            return;
+        }
         if !others.iter().all(|v| agrees(v) && has_start(v)) {
             return;
         }
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -80,6 +80,8 @@
     pub snapshot_interval_entries: u64,
     /// Policy for adding and replacing voters automatically; `None` leaves this to an operator.
     pub repair: Option<RepairPolicy>,
+    /// Time for which a blank initial voter waits for objections before it helps to start a new log.
+    pub founding_wait: Duration,
 }
 
 /// Role of an instance in the consensus protocol.
--- a/crates/hornbeam_control/src/raft/types.rs
+++ b/crates/hornbeam_control/src/raft/types.rs
@@ -49,8 +49,8 @@
         /// The request itself.
         proposal: Proposal,
     },
-    /// Another instance has a configuration later than the initial one, so that an instance with a
-    /// blank disk must not start a new log.
+    /// Another instance has a configuration or a routing table later than that of an empty log, so that
+    /// an instance with a blank disk must not start a new log.
     ConfigExists,
     /// Starts a heartbeat round now, so that the state is confirmed without waiting for the next
     /// one (read index).
--- a/crates/hornbeam_control/tests/votes.rs
+++ b/crates/hornbeam_control/tests/votes.rs
@@ -21,6 +21,7 @@
         seed: 1,
         snapshot_interval_entries: 100,
         repair: None,
+        founding_wait: std::time::Duration::ZERO,
     };
     let folder = Folder::Memory(disk.clone());
     Voter::open(Mono::default(), folder, params, DiskId(2), &mut Vec::new()).unwrap()
--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -31,6 +31,8 @@
     pub spare_voters: IntGauge,
     /// 1 while a leader of the control log is known.
     pub leader_known: IntGauge,
+    /// Highest routing table that an entry has held while a later one was not in force here.
+    pub entries_table: IntGauge,
     /// Index of the last log entry that this controller knows to be committed.
     pub committed_index: IntGauge,
 }
@@ -72,6 +74,10 @@
                 "hornbeam_controller_leader_known",
                 "1 while a leader of the control log is known.",
             ),
+            entries_table: gauge(
+                "hornbeam_controller_entries_table",
+                "Highest routing table of an entry that was later than the one in force here.",
+            ),
             committed_index: gauge(
                 "hornbeam_controller_committed_index",
                 "Last log entry known to be committed.",
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -7,7 +7,7 @@
     Proposal, ProposalId, ProposalOutcome, RaftInput, RaftOutput, RaftParams, RepairPolicy, Role,
     Voter,
 };
-use hornbeam_model::{InstanceId, Mono, Routing};
+use hornbeam_model::{InstanceId, Mono, Routing, TableVersion};
 use hornbeam_protocol::Message;
 use hornbeam_protocol::control::DiskId;
 use hornbeam_storage::Folder;
@@ -21,6 +21,9 @@
 /// Time without a reply after which a voter is replaced by a standby controller. Long enough for a
 /// restart, and short enough that the set of voters is complete again before the next loss.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time for which founders with empty disks wait before they start a log. Entries and other controllers
+/// that hold a table connect and answer within it.
+const FOUNDING_WAIT: Duration = Duration::from_secs(1);
 /// Applied log entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 1_024;
 
@@ -60,6 +63,7 @@
                 target_voters: self.settings.target_voters(),
                 voter_timeout: VOTER_TIMEOUT,
             }),
+            founding_wait: FOUNDING_WAIT,
         };
         let mut out = Vec::new();
         let opened = Folder::open(path).map_err(|e| e.to_string()).and_then(|folder| {
@@ -69,6 +73,7 @@
         match opened {
             Ok(voter) => {
                 if let Some(raft) = voter.raft() {
+                    self.founds_log = is_initial_voter && raft.is_blank();
                     let table = self.with_policy(&raft.state().routing);
                     self.tables.push(&table);
                     let orders = raft.state().zone_orders.clone();
@@ -163,9 +168,36 @@
         if raft.role() != Role::Leader {
             return self.redirect_to_leader(tx);
         }
+        if table.version <= self.entries_table {
+            return self.reply_unavailable(
+                tx,
+                "entries hold a later table: send the request again in a second or, after the \
+                 control log was lost, a table of a higher version",
+            );
+        }
         self.propose(Proposal::Routing(table), tx).await;
     }
 
+    /// Records that an entry holds a table later than the latest one known here. A founder with an empty
+    /// disk then starts no new log: versions would begin again, and the entry would not use them.
+    pub(super) async fn on_later_table(&mut self, entry: InstanceId, version: TableVersion) {
+        if version <= self.entries_table {
+            return;
+        }
+        self.entries_table = version;
+        // Another controller that does not lead may just be a moment behind.
+        if self.founds_log || self.is_leader() {
+            let fields = json!({
+                "belief": "entry_ahead", "entry": entry, "entry_table": version,
+                "table": self.tables.version(), "founds_log": self.founds_log,
+            });
+            self.write_log("entry_ahead", true, &fields);
+        }
+        if self.founds_log && !self.settings.found_anew {
+            self.step(RaftInput::ConfigExists).await;
+        }
+    }
+
     /// Proposes an entry of the log; the outcome is reported to `tx`.
     pub(super) async fn propose(&mut self, proposal: Proposal, tx: oneshot::Sender<ApiResponse>) {
         self.proposals.retain(|_, tx| !tx.is_closed());
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -23,7 +23,7 @@
 use hornbeam_discovery::{
     CrashReports, HealthReports, RateReports, Registry, RegistryParams, TeamUsages,
 };
-use hornbeam_model::{InstanceId, Mono, RequestRate, Routing};
+use hornbeam_model::{InstanceId, Mono, RequestRate, Routing, TableVersion};
 use hornbeam_node::clock::Clock;
 use hornbeam_node::control::net::{Incoming, Net};
 use hornbeam_node::journal::EventLog;
@@ -102,6 +102,10 @@
     /// State of the control log that was written to the log last; `None` while there is no voter.
     logged_status: Option<log_status::LogStatus>,
     tables: RecentTables,
+    /// Highest version of a routing table that an entry holds and that was not in force here.
+    entries_table: TableVersion,
+    /// True if this controller started with an empty disk and may help to start a new log.
+    founds_log: bool,
     zones: zone_orders::ZoneState,
     started_at: Mono,
     feeds: IndexMap<FeedId, Feed>,
@@ -193,6 +197,8 @@
             reopen_at: now,
             logged_status: None,
             tables: RecentTables::default(),
+            entries_table: TableVersion(0),
+            founds_log: false,
             zones: zone_orders::ZoneState::default(),
             started_at: now,
             feeds: IndexMap::new(),
@@ -222,7 +228,7 @@
                 Some((peer, known)) = inputs.incoming.stale_sessions.recv() => {
                     self.net.send(&peer, Message::StaleSession { known }).await;
                 }
-                Some(event) = inputs.feed_events.recv() => self.on_feed_event(event),
+                Some(event) = inputs.feed_events.recv() => self.on_feed_event(event).await,
                 request = inputs.requests.recv() => match request {
                     Some(request) => self.on_request(request).await,
                     None => return,
@@ -312,6 +318,7 @@
         let spare = raft.and_then(|r| r.spare_voters(now));
         self.metrics.spare_voters.set(spare.map_or(0, |n| n as i64));
         self.metrics.leader_known.set(i64::from(self.leader().is_some()));
+        self.metrics.entries_table.set(self.entries_table.0 as i64);
         let replacing = raft.is_some_and(|r| r.membership().replacement.is_some());
         self.metrics.replacing_voter.set(i64::from(replacing));
         self.metrics.committed_index.set(raft.map_or(0, |r| r.commit_index().0) as i64);
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    pub(super) fn on_feed_event(&mut self, event: FeedEvent) {
+    pub(super) async fn on_feed_event(&mut self, event: FeedEvent) {
         let now = self.clock.now();
         match event {
             FeedEvent::Follow(id, info, features, tx) => {
@@ -288,6 +288,10 @@
                 if let Some(update) = self.tables.update_from(have, features) {
                     self.send_to(id, &update);
                 }
+                let entry = self.feeds.get(&id).map(|f| f.info.entry.clone());
+                if let Some(entry) = entry.filter(|_| have > self.tables.version()) {
+                    self.on_later_table(entry, have).await;
+                }
             }
             FeedEvent::Closed(id) => {
                 self.feeds_changed = true;
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -399,6 +399,13 @@
         // Too high a rate, as a lost feed may have reported, only lowers this entry's part.
         let demand = self.feeds.values().map(|f| f.status.demand).max().unwrap_or_default();
         self.publish(FeedEvent::FleetDemand(demand));
+        if table < self.table.version
+            && let Some(feed) = self.feeds.get(from)
+        {
+            // States that a later table is in force, so that controllers that have lost their disks do not
+            // start a log in which versions begin again. Without a later table the message has no reply.
+            let _ = feed.tx.send(FeedUp::FetchTable { have: self.table.version });
+        }
         let due = self.table_requested_at.is_none_or(|at| now.since(at) >= TABLE_REQUEST_TIMEOUT);
         if table > self.table.version && due {
             self.request_table(now, from, self.table.version);
--- a/crates/hornbeam_node/src/node.rs
+++ b/crates/hornbeam_node/src/node.rs
@@ -377,6 +377,7 @@
         seed: s.seed.unwrap_or_else(rand::random),
         snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
         repair: None,
+        founding_wait: Duration::ZERO,
     };
     let voter = Voter::open(now, folder, params, DiskId(rand::random()), recovered);
     Ok(LocalStorage::Voter(Box::new(voter.context(StorageSnafu { folder: path })?)))
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -185,6 +185,10 @@
     /// True if this is the first start of the whole fleet, with empty disks.
     #[serde(default)]
     pub founding: bool,
+    /// True if a new control log may be started although entries hold a routing table, after the disks of
+    /// the last one were lost.
+    #[serde(default)]
+    pub found_anew: bool,
     /// Number of controllers that may fail at the same time without loss of the quorum.
     #[serde(default)]
     pub tolerated_losses: u32,
--- a/crates/hornbeam_testkit/src/control/mod.rs
+++ b/crates/hornbeam_testkit/src/control/mod.rs
@@ -107,6 +107,8 @@
     pub snapshot_interval_entries: u64,
     /// Policy of automatic voter replacement for voters started from now on; none disables it.
     pub repair: Option<RepairPolicy>,
+    /// Time for which blank initial voters that start from now on wait for objections.
+    pub founding_wait: Duration,
     /// Events of all instances, in the order in which they occurred.
     pub events: Vec<(Mono, InstanceId, hornbeam_events::Event)>,
     /// Configurations that came into force, by instance; the caller drains the list.
@@ -147,6 +149,7 @@
             duplicate_percent: 0,
             snapshot_interval_entries: 64,
             repair: None,
+            founding_wait: Duration::ZERO,
             events: Vec::new(),
             came_into_force: Vec::new(),
             control_messages: 0,
@@ -227,6 +230,7 @@
                 seed,
                 snapshot_interval_entries: self.snapshot_interval_entries,
                 repair: self.repair,
+                founding_wait: self.founding_wait,
             };
             self.next_disk += 1;
             let folder = Folder::Memory(disk.clone());
@@ -367,6 +371,11 @@
         self.voter_step(i, RaftInput::TransferLeadership);
     }
 
+    /// Passes an input to the voter of an instance.
+    pub fn voter_input(&mut self, i: NodeIdx, input: RaftInput) {
+        self.voter_step(i, input);
+    }
+
     /// Advances virtual time by `time` and handles every event scheduled until then.
     pub fn run_for(&mut self, time: Duration) {
         let end = self.now + time;
