--- a/crates/hornbeam_control/src/raft/snapshot.rs
+++ b/crates/hornbeam_control/src/raft/snapshot.rs
@@ -132,11 +132,15 @@
 
     /// Sends the next chunk of the snapshot of which the receiver has a part, else of the latest one.
     pub(super) fn send_snapshot(&mut self, to: &InstanceId, round: u64, out: &mut Vec<RaftOutput>) {
-        let Some(snapshot) = self.encoded_snapshot() else { return };
-        let Some(leader_state) = &mut self.leader_state else { return };
-        let Some(progress) = leader_state.progress.get_mut(to) else { return };
-        let begun = progress.transfer.take().filter(|t| t.received > 0);
-        let transfer = begun.unwrap_or(OutgoingSnapshot { snapshot, received: 0 });
+        let progress = self.leader_state.as_ref().and_then(|l| l.progress.get(to));
+        let begun = progress.and_then(|p| p.transfer.clone()).filter(|t| t.received > 0);
+        let transfer = match begun {
+            Some(transfer) => transfer,
+            None => {
+                let Some(snapshot) = self.encoded_snapshot() else { return };
+                OutgoingSnapshot { snapshot, received: 0 }
+            }
+        };
         let bytes = &transfer.snapshot.bytes;
         let start = (transfer.received as usize).min(bytes.len());
         let end = (start + SNAPSHOT_CHUNK_BYTES).min(bytes.len());
@@ -147,7 +151,10 @@
             data: bytes[start..end].to_vec(),
             round,
         };
-        progress.transfer = Some(transfer);
+        let progress = self.leader_state.as_mut().and_then(|l| l.progress.get_mut(to));
+        if let Some(progress) = progress {
+            progress.transfer = Some(transfer);
+        }
         self.send(to, body, out);
     }
 
