A founder with a log is not reported as one that founds it

A founder that had not been restarted since its first start wrote entry_ahead lines with founds_log true whenever an entry had a new table a moment before it. Whether it founds a log now depends on whether its disk is still empty. Seen on reading the diff.

--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hornbeam_control::{
-    Proposal, ProposalId, ProposalOutcome, RaftInput, RaftOutput, RaftParams, RepairPolicy, Role,
-    Voter,
+    Proposal, ProposalId, ProposalOutcome, Raft, RaftInput, RaftOutput, RaftParams, RepairPolicy,
+    Role, Voter,
 };
 use hornbeam_model::{InstanceId, Mono, Routing, TableVersion};
 use hornbeam_protocol::Message;
@@ -28,7 +28,7 @@
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 1_024;
 
 impl Controller {
-    pub(super) fn raft(&self) -> Option<&hornbeam_control::Raft> {
+    pub(super) fn raft(&self) -> Option<&Raft> {
         self.voter.as_ref().and_then(Voter::raft)
     }
 
@@ -72,8 +72,8 @@
         });
         match opened {
             Ok(voter) => {
+                self.is_founder = is_initial_voter;
                 if let Some(raft) = voter.raft() {
-                    self.founds_log = is_initial_voter && raft.is_blank();
                     let table = self.with_policy(&raft.state().routing);
                     self.tables.push(&table);
                     let orders = raft.state().zone_orders.clone();
@@ -185,15 +185,16 @@
             return;
         }
         self.entries_table = version;
+        let founds_log = self.is_founder && self.raft().is_some_and(Raft::is_blank);
         // Another controller that does not lead may just be a moment behind.
-        if self.founds_log || self.is_leader() {
+        if founds_log || self.is_leader() {
             let fields = json!({
                 "belief": "entry_ahead", "entry": entry, "entry_table": version,
-                "table": self.tables.version(), "founds_log": self.founds_log,
+                "table": self.tables.version(), "founds_log": founds_log,
             });
             self.write_log("entry_ahead", true, &fields);
         }
-        if self.founds_log && !self.settings.found_anew {
+        if founds_log && !self.settings.found_anew {
             self.step(RaftInput::ConfigExists).await;
         }
     }
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -104,8 +104,8 @@
     tables: RecentTables,
     /// Highest version of a routing table that an entry holds and that was not in force here.
     entries_table: TableVersion,
-    /// True if this controller started with an empty disk and may help to start a new log.
-    founds_log: bool,
+    /// True if this controller may help to start a new log, as long as its disk is empty.
+    is_founder: bool,
     zones: zone_orders::ZoneState,
     started_at: Mono,
     feeds: IndexMap<FeedId, Feed>,
@@ -198,7 +198,7 @@
             logged_status: None,
             tables: RecentTables::default(),
             entries_table: TableVersion(0),
-            founds_log: false,
+            is_founder: false,
             zones: zone_orders::ZoneState::default(),
             started_at: now,
             feeds: IndexMap::new(),
