A founder that opens its log again on an empty disk counts the table that it knows

What operators saw: controllers whose disks were emptied while they ran opened the log again after a failed write, had the table in memory, and founded a second log once the last one was restarted, with founding: true left on. Later tables were acknowledged by a log in which versions begin again. Cause: an entry objects to founders only if its table is later than theirs, and theirs was the one in memory; and an entry's version was passed on once only, not to a log that was opened later. Change: what counts is the highest table known here or at an entry, asked each time the log is opened and each time an entry states its own; a leader refuses tables up to that version. A refused founder says so once (founding_refused).

--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -72,7 +72,7 @@
         });
         match opened {
             Ok(voter) => {
-                self.is_founder = is_initial_voter;
+                self.may_found = is_initial_voter && !self.settings.found_anew;
                 if let Some(raft) = voter.raft() {
                     let table = self.with_policy(&raft.state().routing);
                     self.tables.push(&table);
@@ -81,6 +81,7 @@
                 }
                 self.voter = Some(voter);
                 self.apply_outputs(out).await;
+                self.refuse_founding().await;
             }
             Err(e) => {
                 let fields = json!({"belief": "disk_failed", "reason": e, "path": path});
@@ -168,35 +169,51 @@
         if raft.role() != Role::Leader {
             return self.redirect_to_leader(tx);
         }
-        if table.version <= self.entries_table {
+        if table.version <= self.highest_known_table() {
             return self.reply_unavailable(
                 tx,
-                "entries hold a later table: send the request again in a second or, after the \
-                 control log was lost, a table of a higher version",
+                "entries use this or a later table: send the request again in a second or, after \
+                 the control log was lost, a table of a higher version",
             );
         }
         self.propose(Proposal::Routing(table), tx).await;
     }
 
-    /// Records that an entry holds a table later than the latest one known here. A founder with an empty
-    /// disk then starts no new log: versions would begin again, and the entry would not use them.
+    /// Returns the highest table that this controller knows to be used, here or at an entry, also if the disk
+    /// has been lost since.
+    fn highest_known_table(&self) -> TableVersion {
+        self.tables.version().max(self.entries_table)
+    }
+
+    /// Records that an entry holds a table later than the latest one known here.
     pub(super) async fn on_later_table(&mut self, entry: InstanceId, version: TableVersion) {
-        if version <= self.entries_table {
-            return;
-        }
-        self.entries_table = version;
-        let founds_log = self.is_founder && self.raft().is_some_and(Raft::is_blank);
+        let is_new = version > self.entries_table;
+        self.entries_table = self.entries_table.max(version);
         // Another controller that does not lead may just be a moment behind.
-        if founds_log || self.is_leader() {
+        if is_new && self.is_leader() {
             let fields = json!({
                 "belief": "entry_ahead", "entry": entry, "entry_table": version,
-                "table": self.tables.version(), "founds_log": founds_log,
+                "table": self.tables.version(),
             });
             self.write_log("entry_ahead", true, &fields);
         }
-        if founds_log && !self.settings.found_anew {
-            self.step(RaftInput::ConfigExists).await;
+        self.refuse_founding().await;
+    }
+
+    /// Keeps a founder with an empty disk from starting a log in which the versions of tables that are used
+    /// would begin again: entries would not use its tables.
+    async fn refuse_founding(&mut self) {
+        let is_blank = self.raft().is_some_and(Raft::is_blank);
+        if !self.may_found || !is_blank || self.highest_known_table() == TableVersion(0) {
+            return;
         }
+        self.may_found = false;
+        let fields = json!({
+            "belief": "founding_refused", "table": self.tables.version(),
+            "entries_table": self.entries_table,
+        });
+        self.write_log("founding_refused", true, &fields);
+        self.step(RaftInput::ConfigExists).await;
     }
 
     /// Proposes an entry of the log; the outcome is reported to `tx`.
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -104,8 +104,9 @@
     tables: RecentTables,
     /// Highest version of a routing table that an entry holds and that was not in force here.
     entries_table: TableVersion,
-    /// True if this controller may help to start a new log, as long as its disk is empty.
-    is_founder: bool,
+    /// True if this controller helps to start a new log, as long as its disk is empty and no table is known
+    /// to be used.
+    may_found: bool,
     zones: zone_orders::ZoneState,
     started_at: Mono,
     feeds: IndexMap<FeedId, Feed>,
@@ -198,7 +199,7 @@
             logged_status: None,
             tables: RecentTables::default(),
             entries_table: TableVersion(0),
-            is_founder: false,
+            may_found: false,
             zones: zone_orders::ZoneState::default(),
             started_at: now,
             feeds: IndexMap::new(),
