--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -15,11 +15,13 @@
 //! - [`snapshot`]: log compaction and snapshot transfer
 //! - [`proposal`]: configuration changes, routing tables and voter replacements
 //! - [`repair`]: automatic addition and replacement of voters
+//! - [`losses`]: voters that are lost, and how many more may be
 //! - [`zone_orders`]: orders about availability zones
 //! - [`types`]: inputs, outputs and writes
 
 mod election;
 mod identity;
+mod losses;
 mod proposal;
 mod repair;
 mod replication;
@@ -44,7 +46,6 @@
 use crate::log::Log;
 use crate::state::ControlState;
 
-use repair::MAX_STANDBY_HELLO_AGE;
 pub use repair::RepairPolicy;
 pub use types::{Compaction, Persist, Proposal, ProposalId, RaftInput, RaftOutput};
 
@@ -322,26 +323,6 @@
         &self.members
     }
 
-    /// Returns the voters that have lost their disks: their latest hellos name other ones.
-    pub fn lost_voters(&self, now: Mono) -> Vec<InstanceId> {
-        let has_lost_disk = |name: &InstanceId, disk: &Option<DiskId>| {
-            let seen = self.identity.non_voters.get(name);
-            let recent = seen.filter(|s| now.since(s.seen_at) < MAX_STANDBY_HELLO_AGE);
-            recent.is_some_and(|s| disk.is_some_and(|d| d != s.disk))
-        };
-        let voters = self.members.voters.iter().filter(|(name, disk)| has_lost_disk(name, disk));
-        voters.map(|(name, _)| name.clone()).collect()
-    }
-
-    /// Returns how many further voters may be lost before nothing can be decided; `None` unless this
-    /// instance leads.
-    pub fn spare_voters(&self, now: Mono) -> Option<usize> {
-        self.leader_state.as_ref()?;
-        let voters = &self.members.voters;
-        let live = voters.keys().filter(|v| self.replies(now, v)).count();
-        Some(live.saturating_sub(voters.len() / 2 + 1))
-    }
-
     /// Returns why this instance may not vote with its disk, if that is known.
     pub fn refusal(&self) -> Option<&'static str> {
         self.identity.refusal
