--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -71,6 +71,8 @@
     pub processes: Mutex<HashMap<String, Child>>,
     pub record: Arc<Record>,
     pub ended: AtomicBool,
+    /// Further lines of the entries' settings.
+    pub entry_settings: Mutex<String>,
 }
 
 impl Lab {
@@ -103,6 +105,7 @@
                 processes: Mutex::default(),
                 record: record.clone(),
                 ended: AtomicBool::new(false),
+                entry_settings: Mutex::new("revocation:\n  strict: \n  window_ms: \n".to_owned()),
             });
         }
         cannot_run(None, record, "no free loopback addresses")
@@ -183,9 +186,10 @@
              callers: \"{ip}:{CALLERS_PORT}\"\nready: \"{ip}:{READY_PORT}\"\nheartbeat_ms: 1200\n\
              grace_s: 6\nbudget:\n  ratio: 0.2\n  window_s: 10\n  allowance: 54\nmemory_mb: 260\n\
              zones: {{\"zone-a\":\"r\",\"zone-b\":\"r\",\"zone-c\":\"r\"}}\nregion: \"r\"\n\
-             revocation:\n  strict: \n  window_ms: \n",
+             {}",
             ZONES[i % 3],
-            self.seeds()
+            self.seeds(),
+            self.entry_settings.lock().unwrap()
         );
         self.spawn(&format!("entry-{i}"), "entry", &settings);
     }
@@ -326,9 +330,21 @@
     }
 
     pub fn request(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64) -> Result<Answer> {
+        self.request_with(method, path, id, deadline_ms, "")
+    }
+
+    /// Sends a request with further header lines, each with its line end.
+    pub fn request_with(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+        more: &str,
+    ) -> Result<Answer> {
         let length = if method == "GET" { "" } else { "Content-Length: 0\r\n" };
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n{length}\r\n"
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n{more}{length}\r\n"
         );
         self.stream.write_all(head.as_bytes())?;
         self.read_answer()
@@ -391,6 +407,8 @@
     pub pinging: AtomicBool,
     /// Requests run: time since the start of the record, attempt id, path.
     pub runs: Mutex<Vec<(f64, String, String)>>,
+    /// Attempt ids of the requests that came with an `Api-Key`.
+    pub keys: Mutex<Vec<String>>,
     lab: Arc<Lab>,
 }
 
@@ -408,6 +426,7 @@
             draining: AtomicBool::new(false),
             pinging: AtomicBool::new(true),
             runs: Mutex::default(),
+            keys: Mutex::default(),
             lab: lab.clone(),
         });
         let accepting = searcher.clone();
@@ -474,6 +493,10 @@
             )
             .into_bytes();
         }
+        if let Some(key) = request.headers.get("api-key") {
+            self.keys.lock().unwrap().push(id.clone());
+            self.lab.record.line(&format!("{} got the key {key} with {id}", self.id));
+        }
         let at = self.lab.record.now();
         self.runs.lock().unwrap().push((at, id.clone(), request.path.clone()));
         self.lab.record.line(&format!("run by {} of {}: {id} {}", self.id, self.service, request.path));
