A very large result limit reserves no memory

Cause: merging reserved memory for limit + 1 references before it had seen a record. Change: the heap grows with the records, and holds them rather than references to them, so the merged body is not copied. Why it works: no number of a table takes part in an allocation any more.

--- a/crates/hornbeam_route/src/merge.rs
+++ b/crates/hornbeam_route/src/merge.rs
@@ -7,20 +7,21 @@
 pub const RECORD_BYTES: usize = 16;
 
 /// Returns the `limit` greatest records of all parts in descending byte order. Duplicates are kept;
-/// a trailing remainder shorter than a record is ignored.
+/// a trailing remainder shorter than a record is ignored. Memory is used for the records that there
+/// are, whatever the limit.
 pub fn merge_records<'a>(parts: impl IntoIterator<Item = &'a [u8]>, limit: usize) -> Vec<u8> {
-    let mut best: BinaryHeap<Reverse<&[u8]>> = BinaryHeap::with_capacity(limit + 1);
+    let mut best: BinaryHeap<Reverse<[u8; RECORD_BYTES]>> = BinaryHeap::new();
     for part in parts {
-        for record in part.chunks_exact(RECORD_BYTES) {
+        for record in part.as_chunks().0 {
             if best.len() < limit {
-                best.push(Reverse(record));
-            } else if best.peek().is_some_and(|Reverse(least)| record > *least) {
-                best.pop();
-                best.push(Reverse(record));
+                best.push(Reverse(*record));
+            } else if let Some(mut least) = best.peek_mut()
+                && *record > least.0
+            {
+                *least = Reverse(*record);
             }
         }
     }
-    let mut records: Vec<&[u8]> = best.into_iter().map(|Reverse(r)| r).collect();
-    records.sort_unstable_by(|a, b| b.cmp(a));
-    records.concat()
+    let records: Vec<_> = best.into_sorted_vec().into_iter().map(|Reverse(r)| r).collect();
+    records.into_flattened()
 }
--- a/crates/hornbeam_route/tests/merged_records.rs
+++ b/crates/hornbeam_route/tests/merged_records.rs
@@ -47,3 +47,12 @@
     assert!(merged(&[], 5).is_empty());
     assert!(merged(&[part(&[1, 2])], 0).is_empty());
 }
+
+/// Guards against memory that is reserved for the limit instead of the records: a route with a very
+/// large limit ended each entry that answered a request on it.
+#[test]
+fn largest_limits() {
+    for limit in [u32::MAX as usize, usize::MAX] {
+        assert_eq!(merged(&[part(&[3, 9]), part(&[7])], limit), [9, 7, 3], "limit {limit}");
+    }
+}
