A first routing table of version 0 is put in force

Cause: version 0 stood for "no table" in the control log, reads, feeds and the check of keys. Change: whether there is a table is asked for itself. On the wire 0 means "none or version 0" as before, and whoever states it gets the whole table. A leader refuses such a table with 503 while a controller of an earlier build, which would drop it, is heard. Why it works: no comparison of versions decides any more whether there is a table.

--- a/crates/hornbeam_control/src/raft/proposal.rs
+++ b/crates/hornbeam_control/src/raft/proposal.rs
@@ -73,8 +73,7 @@
         routing: Arc<Routing>,
         out: &mut Vec<RaftOutput>,
     ) -> Option<ProposalOutcome> {
-        let in_force = self.state.routing.version;
-        if routing.version <= in_force {
+        if let Some(in_force) = self.state.superseded_by(&routing) {
             return Some(ProposalOutcome::TableInForce(in_force));
         }
         let leader_state = self.leader_state.as_ref()?;
--- a/crates/hornbeam_control/src/raft/snapshot.rs
+++ b/crates/hornbeam_control/src/raft/snapshot.rs
@@ -218,7 +218,7 @@
         self.update_own_role();
         self.persist_snapshot(out);
         out.push(RaftOutput::SnapshotInstalled(self.state.config.clone()));
-        out.push(RaftOutput::RoutingCommitted(self.state.routing.clone()));
+        out.extend(self.state.table().cloned().map(RaftOutput::RoutingCommitted));
         out.push(RaftOutput::ZoneOrdersCommitted(self.state.zone_orders.clone()));
         true
     }
--- a/crates/hornbeam_control/src/state.rs
+++ b/crates/hornbeam_control/src/state.rs
@@ -41,7 +41,8 @@
     outcomes: IndexMap<ChangeId, ChangeOutcome>,
     /// Accepted changes, oldest first; at most twice [`MAX_HISTORY`].
     history: Vec<HistoryItem>,
-    /// Latest committed routing table; its version never decreases.
+    /// Latest committed routing table; its version never decreases. The default value before the first
+    /// one, see [`ControlState::table`].
     pub routing: Arc<Routing>,
     /// Evacuated zones. Encoded after the other fields, see [`crate::encoding`].
     #[serde(skip)]
@@ -68,6 +69,16 @@
 }
 
 impl ControlState {
+    /// Returns the latest committed routing table, if there is one.
+    pub fn table(&self) -> Option<&Arc<Routing>> {
+        Some(&self.routing).filter(|t| t.exists())
+    }
+
+    /// Returns the version in force that makes `routing` superfluous: the same or a later one.
+    pub fn superseded_by(&self, routing: &Routing) -> Option<TableVersion> {
+        self.table().map(|t| t.version).filter(|held| routing.version <= *held)
+    }
+
     /// Returns the first outcome of a change, if it is still kept.
     pub fn outcome(&self, id: &ChangeId) -> Option<&ChangeOutcome> {
         self.outcomes.get(id)
@@ -112,7 +123,7 @@
     /// Puts a committed routing table in force. Returns false if the same or a later version
     /// already is.
     pub fn apply_routing(&mut self, routing: &Arc<Routing>) -> bool {
-        let newer = routing.version > self.routing.version;
+        let newer = self.superseded_by(routing).is_none();
         if newer {
             self.routing = routing.clone();
         }
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -10,6 +10,7 @@
 use hornbeam_model::{InstanceId, Mono, Routing, TableVersion};
 use hornbeam_protocol::Message;
 use hornbeam_protocol::control::DiskId;
+use hornbeam_protocol::features::Features;
 use hornbeam_storage::Folder;
 use serde_json::json;
 use tokio::sync::oneshot;
@@ -74,8 +75,10 @@
             Ok(voter) => {
                 self.may_found = is_initial_voter && !self.settings.found_anew;
                 if let Some(raft) = voter.raft() {
-                    let table = self.with_policy(&raft.state().routing);
-                    self.tables.push(&table);
+                    if let Some(table) = raft.state().table() {
+                        let table = self.with_policy(table);
+                        self.tables.push(&table);
+                    }
                     let orders = raft.state().zone_orders.clone();
                     self.put_orders_in_force(&orders);
                 }
@@ -141,7 +144,7 @@
     }
 
     pub(super) fn put_in_force(&mut self, table: &Arc<Routing>) {
-        if table.version <= self.tables.version() {
+        if Some(table.version) <= self.tables.version() {
             return;
         }
         let table = self.with_policy(table);
@@ -158,9 +161,8 @@
         tx: oneshot::Sender<ApiResponse>,
     ) {
         let Some(raft) = self.raft() else { return self.redirect_to_leader(tx) };
-        if table.version <= raft.state().routing.version {
-            // A committed table of the same or a later version supersedes this one for good.
-            let held = raft.state().routing.version;
+        // A committed table of the same or a later version supersedes this one for good.
+        if let Some(held) = raft.state().superseded_by(&table) {
             let fields =
                 json!({"decision": "table_superseded", "table": table.version, "held": held});
             self.write_log("put_table", false, &fields);
@@ -169,20 +171,34 @@
         if raft.role() != Role::Leader {
             return self.redirect_to_leader(tx);
         }
-        if table.version <= self.highest_known_table() {
+        if Some(table.version) <= self.highest_known_table() {
             return self.reply_unavailable(
                 tx,
                 "entries use this or a later table: send the request again in a second or, after \
                  the control log was lost, a table of a higher version",
             );
         }
+        if table.version == TableVersion(0) && self.lacks_feature(Features::TABLE_ZERO) {
+            return self.reply_unavailable(
+                tx,
+                "a controller has not stated that it takes a table of version 0: send the table again, or \
+                 replace the controllers of an earlier build first",
+            );
+        }
         self.propose(Proposal::Routing(table), tx).await;
     }
 
+    /// Returns true if another controller heard recently has not stated these features.
+    fn lacks_feature(&self, features: Features) -> bool {
+        self.controllers_without(self.clock.now(), features) > 0
+    }
+
     /// Returns the highest table that this controller knows to be used, here or at an entry, also if the disk
     /// has been lost since.
-    fn highest_known_table(&self) -> TableVersion {
-        self.tables.version().max(self.entries_table)
+    fn highest_known_table(&self) -> Option<TableVersion> {
+        // An entry states 0 also without a table.
+        let at_entries = Some(self.entries_table).filter(|version| *version > TableVersion(0));
+        self.tables.version().max(at_entries)
     }
 
     /// Records that an entry holds a table later than the latest one known here.
@@ -204,7 +220,7 @@
     /// would begin again: entries would not use its tables.
     async fn refuse_founding(&mut self) {
         let is_blank = self.raft().is_some_and(Raft::is_blank);
-        if !self.may_found || !is_blank || self.highest_known_table() == TableVersion(0) {
+        if !self.may_found || !is_blank || self.highest_known_table().is_none() {
             return;
         }
         self.may_found = false;
@@ -270,18 +286,15 @@
     /// Replies to the reads that arrived no later than `at`, when the state was confirmed.
     pub(super) fn reply_to_reads(&mut self, at: Mono) {
         let Some(raft) = self.voter.as_ref().and_then(Voter::raft) else { return };
-        let table = raft.state().routing.clone();
+        let table = raft.state().table().cloned();
         for (arrived, tx) in std::mem::take(&mut self.pending_reads) {
             if arrived > at {
                 self.pending_reads.push((arrived, tx));
-            } else if table.version.0 == 0 {
-                reply(
-                    tx,
-                    ApiResponse::Unavailable("no routing table is in force yet: send one first"),
-                );
-            } else {
-                reply(tx, ApiResponse::Table(table.clone()));
+                continue;
             }
+            let none = "no routing table is in force yet: send one first";
+            let table = table.clone().map(ApiResponse::Table);
+            reply(tx, table.unwrap_or(ApiResponse::Unavailable(none)));
         }
     }
 }
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -310,7 +310,7 @@
         self.metrics.entries.set(i64::from(self.count_entries(now)));
         self.metrics.controllers.set(self.live_controllers(now).len() as i64);
         self.metrics.leads.set(i64::from(self.is_leader()));
-        self.metrics.table_version.set(self.tables.version().0 as i64);
+        self.metrics.table_version.set(self.tables.version().unwrap_or_default().0 as i64);
         let raft = self.raft();
         let voters = raft.map_or(0, |r| r.membership().voters.len());
         self.metrics.voters.set(voters as i64);
--- a/crates/hornbeam_controller/src/state/servers.rs
+++ b/crates/hornbeam_controller/src/state/servers.rs
@@ -185,7 +185,7 @@
         FleetStatus {
             controllers: self.live_controllers(now),
             entries: self.count_entries(now),
-            table: self.tables.version(),
+            table: self.tables.version().unwrap_or_default(),
             demand: self.feeds.values().map(|f| f.demand).sum(),
         }
     }
@@ -289,7 +289,8 @@
                     self.send_to(id, &update);
                 }
                 let entry = self.feeds.get(&id).map(|f| f.info.entry.clone());
-                if let Some(entry) = entry.filter(|_| have > self.tables.version()) {
+                let is_later = have > self.tables.version().unwrap_or_default();
+                if let Some(entry) = entry.filter(|_| is_later) {
                     self.on_later_table(entry, have).await;
                 }
             }
--- a/crates/hornbeam_controller/src/state/zone_orders.rs
+++ b/crates/hornbeam_controller/src/state/zone_orders.rs
@@ -69,14 +69,11 @@
         self.zones.seen.extend(zones.into_iter().take(MAX_STATED_ZONES));
     }
 
-    /// Returns the other controllers heard recently that have not stated that they read orders.
-    fn unready_controllers(&self, now: Mono) -> usize {
-        let reads = |c: &InstanceId| {
-            let stated = self.zones.features.get(c);
-            stated.is_some_and(|f| f.includes(Features::ZONE_ORDERS))
-        };
+    /// Returns how many of the other controllers heard recently have not stated these features.
+    pub(super) fn controllers_without(&self, now: Mono, features: Features) -> usize {
+        let has = |c: &InstanceId| self.zones.features.get(c).is_some_and(|f| f.includes(features));
         let live = self.live_controllers(now);
-        live.iter().filter(|c| **c != self.me && !reads(c)).count()
+        live.iter().filter(|c| **c != self.me && !has(c)).count()
     }
 
     fn known_zones(&self) -> Vec<Zone> {
@@ -102,7 +99,7 @@
             known_zones: &known_zones,
             zones_listed: !self.settings.zones.is_empty(),
             uptime: now.since(self.started_at),
-            unready_controllers: self.unready_controllers(now),
+            unready_controllers: self.controllers_without(now, Features::ZONE_ORDERS),
             unready_entries: self.feeds.values().filter(|f| !reads(f)).count(),
         };
         match order_refusal(&order, context) {
--- a/crates/hornbeam_controller/src/tables.rs
+++ b/crates/hornbeam_controller/src/tables.rs
@@ -19,7 +19,7 @@
 impl RecentTables {
     /// Adds a table that came into force, unless a table of the same or a later version is known.
     pub fn push(&mut self, table: &Routing) {
-        if self.version() >= table.version {
+        if self.version() >= Some(table.version) {
             return;
         }
         let table = Routing { document: Vec::new(), ..table.clone() };
@@ -29,9 +29,9 @@
         }
     }
 
-    /// Returns the version of the latest table, or 0 if there is none.
-    pub fn version(&self) -> TableVersion {
-        self.tables.back().map_or(TableVersion(0), |t| t.version)
+    /// Returns the version of the latest table, if there is one.
+    pub fn version(&self) -> Option<TableVersion> {
+        self.tables.back().map(|t| t.version)
     }
 
     /// Returns the policy of the latest table.
@@ -41,10 +41,12 @@
 
     /// Returns the message that updates an entry from version `have` to the latest table: a delta
     /// if that version is kept, otherwise the whole table; with the policy if the entry reads it.
-    /// `None` if the entry is up to date.
+    /// `None` if the entry is up to date. An entry without a table states version 0, so one that states it
+    /// always gets the whole table.
     pub fn update_from(&self, have: TableVersion, features: Features) -> Option<FeedDown> {
-        let latest = self.tables.back().filter(|t| t.version > have)?;
-        let base = self.tables.iter().find(|t| t.version == have);
+        let base = Some(have).filter(|version| *version > TableVersion(0));
+        let latest = self.tables.back().filter(|t| Some(t.version) > base)?;
+        let base = self.tables.iter().find(|t| Some(t.version) == base);
         if features.includes(Features::POLICY) {
             return Some(match base {
                 Some(base) => FeedDown::PolicyDelta {
--- a/crates/hornbeam_entry/src/feeds.rs
+++ b/crates/hornbeam_entry/src/feeds.rs
@@ -15,7 +15,8 @@
 
 use hornbeam_discovery::{CrashReports, Directory, FeedCounts, OrdersView, ServerUpdate};
 use hornbeam_model::{
-    CrashReport, InstanceId, Mono, RateReport, Routing, ServerId, TableVersion, TeamUsage,
+    CrashReport, InstanceId, Mono, RateReport, Routing, RoutingDelta, ServerId, TableVersion,
+    TeamUsage,
 };
 use hornbeam_node::clock::Clock;
 use hornbeam_node::program::{SettingsWatch, SuspensionWatch};
@@ -100,7 +101,7 @@
     /// Servers that are not used before the orders about zones are known.
     pub(crate) held_servers: Vec<ServerUpdate>,
     pub(crate) feeds: IndexMap<InstanceId, Feed>,
-    table: Arc<Routing>,
+    table: Option<Arc<Routing>>,
     /// What this entry has reported of requests in flight at servers that ended, for controllers that
     /// have been restarted.
     crash_reports: CrashReports,
@@ -135,7 +136,7 @@
         zone_orders: OrdersView::new(params.settings.evacuations),
         held_servers: Vec::new(),
         feeds: IndexMap::new(),
-        table: Arc::new(Routing::default()),
+        table: None,
         crash_reports: CrashReports::default(),
         team_usage: team_usage::LatestUsage::default(),
         feed_counts: FeedCounts::default(),
@@ -319,12 +320,12 @@
                 let fields = json!({"decision": "table_without_policy", "controller": from});
                 self.log("table_without_policy", true, &fields);
             }
-            FeedDown::TableDelta(delta) => match self.table.apply(&delta) {
+            FeedDown::TableDelta(delta) => match self.apply_delta(&delta) {
                 Some(table) => self.on_table(table),
                 None => self.request_table(now, from, TableVersion(0)),
             },
             FeedDown::Table(table) => self.on_table((*table).clone()),
-            FeedDown::PolicyDelta { delta, policy } => match self.table.apply(&delta) {
+            FeedDown::PolicyDelta { delta, policy } => match self.apply_delta(&delta) {
                 Some(table) => {
                     let policy = policy.unwrap_or_else(|| table.policy.clone());
                     self.on_table(Routing { policy, ..table });
@@ -399,16 +400,19 @@
         // Too high a rate, as a lost feed may have reported, only lowers this entry's part.
         let demand = self.feeds.values().map(|f| f.status.demand).max().unwrap_or_default();
         self.publish(FeedEvent::FleetDemand(demand));
-        if table < self.table.version
+        let have = self.table.as_ref().map(|t| t.version).unwrap_or_default();
+        // A controller with a table of version 0 states the same as one without a table.
+        let may_have_first = self.table.is_none() && table == TableVersion(0);
+        if (table < have || may_have_first)
             && let Some(feed) = self.feeds.get(from)
         {
             // States that a later table is in force, so that controllers that have lost their disks do not
             // start a log in which versions begin again. Without a later table the message has no reply.
-            let _ = feed.tx.send(FeedUp::FetchTable { have: self.table.version });
+            let _ = feed.tx.send(FeedUp::FetchTable { have });
         }
         let due = self.table_requested_at.is_none_or(|at| now.since(at) >= TABLE_REQUEST_TIMEOUT);
-        if table > self.table.version && due {
-            self.request_table(now, from, self.table.version);
+        if table > have && due {
+            self.request_table(now, from, have);
         }
     }
 
@@ -422,11 +426,15 @@
     }
 
     fn has_teams(&self) -> bool {
-        !self.table.policy.teams.is_empty()
+        self.table.as_ref().is_some_and(|t| !t.policy.teams.is_empty())
     }
 
     pub(crate) fn has_table(&self) -> bool {
-        self.table.version > TableVersion(0)
+        self.table.is_some()
+    }
+
+    fn apply_delta(&self, delta: &RoutingDelta) -> Option<Routing> {
+        self.table.as_ref()?.apply(delta)
     }
 
     fn publish_feed_counts(&mut self, now: Mono) {
@@ -445,11 +453,12 @@
 
     fn on_table(&mut self, table: Routing) {
         self.table_requested_at = None;
-        if table.version <= self.table.version {
+        if self.table.as_ref().is_some_and(|t| table.version <= t.version) {
             return;
         }
-        self.table = Arc::new(table);
-        self.publish(FeedEvent::Table(self.table.clone()));
+        let table = Arc::new(table);
+        self.table = Some(table.clone());
+        self.publish(FeedEvent::Table(table));
     }
 
     fn tick(&mut self) {
--- a/crates/hornbeam_entry/src/feeds/pause.rs
+++ b/crates/hornbeam_entry/src/feeds/pause.rs
@@ -25,7 +25,7 @@
     /// wait in the connections may state keys that were revoked, or zones that were evacuated meanwhile.
     pub(super) fn check_pause(&mut self, now: Mono) {
         let gap = now.since(std::mem::replace(&mut self.ran_at, now));
-        let is_affected = !self.table.policy.teams.is_empty() || self.params.settings.evacuations;
+        let is_affected = self.has_teams() || self.params.settings.evacuations;
         if gap < MIN_PAUSE || !is_affected {
             return;
         }
--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -195,7 +195,8 @@
 /// Routing table of one version. Its `Debug` output leaves out the document, which contains keys.
 #[derive(Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Routing {
-    /// Version of the table; the highest one is in force, 0 means that there is no table.
+    /// Version of the table; the highest one is in force. 0 is a version like others, see
+    /// [`Routing::exists`].
     pub version: TableVersion,
     /// Routes, in the order of the document; a [`RoutingDelta`] appends its new routes.
     pub routes: Vec<Arc<Route>>,
@@ -225,6 +226,12 @@
 }
 
 impl Routing {
+    /// Returns false for the default value that stands for no table where tables come with their document:
+    /// at controllers.
+    pub fn exists(&self) -> bool {
+        self.version > TableVersion(0) || !self.document.is_empty()
+    }
+
     /// Validates targets, weights and timeouts, and that no two routes match the same requests.
     ///
     /// # Errors
--- a/crates/hornbeam_protocol/src/discovery.rs
+++ b/crates/hornbeam_protocol/src/discovery.rs
@@ -82,7 +82,7 @@
     pub controllers: Vec<InstanceId>,
     /// Number of entries that follow the sender or did so until recently.
     pub entries: u32,
-    /// Version of the sender's routing table.
+    /// Version of the sender's routing table; 0 also if it has none.
     pub table: TableVersion,
     /// Rate of the callers' requests at these entries together.
     pub demand: RequestRate,
@@ -176,9 +176,9 @@
     /// Starts the feed; the first message. It is followed by the [`Features`] of the entry, which older
     /// builds neither send nor read.
     Follow(EntryInfo),
-    /// Requests the routing table if it is later than `have`.
+    /// Requests the routing table if it is later than `have`, or in any case if that is 0.
     FetchTable {
-        /// Version of the entry's routing table.
+        /// Version of the entry's routing table; 0 also if it has none.
         have: TableVersion,
     },
     /// All servers that the entry itself found unhealthy recently; replaces the previous list,
--- a/crates/hornbeam_protocol/src/features.rs
+++ b/crates/hornbeam_protocol/src/features.rs
@@ -20,9 +20,16 @@
     pub const ZONE_LOADS: Self = Self(1 << 3);
     /// [`FeedDown::FleetDemand`](crate::discovery::FeedDown::FleetDemand).
     pub const FLEET_DEMAND: Self = Self(1 << 4);
+    /// Routing tables of version 0, which earlier builds take for none.
+    pub const TABLE_ZERO: Self = Self(1 << 5);
     /// All messages that this build reads.
-    pub const OWN: Self =
-        Self(Self::POLICY.0 | Self::TEAM_USAGE.0 | Self::ZONE_ORDERS.0 | Self::FLEET_DEMAND.0);
+    pub const OWN: Self = Self(
+        Self::POLICY.0
+            | Self::TEAM_USAGE.0
+            | Self::ZONE_ORDERS.0
+            | Self::FLEET_DEMAND.0
+            | Self::TABLE_ZERO.0,
+    );
 
     /// Returns true if this set includes all of `other`.
     pub fn includes(self, other: Self) -> bool {
--- a/crates/hornbeam_route/src/contact.rs
+++ b/crates/hornbeam_route/src/contact.rs
@@ -46,15 +46,19 @@
 
 impl TableContact {
     /// Updates the contact; returns true if the table in force is confirmed by it for the first time.
-    pub(crate) fn update(&mut self, contact: ControllerContact, in_force: TableVersion) -> bool {
+    pub(crate) fn update(
+        &mut self,
+        contact: ControllerContact,
+        in_force: Option<TableVersion>,
+    ) -> bool {
         self.contact = Some(contact);
         self.confirm(in_force)
     }
 
     /// Returns true if the table in force is confirmed for the first time.
-    pub(crate) fn confirm(&mut self, in_force: TableVersion) -> bool {
+    pub(crate) fn confirm(&mut self, in_force: Option<TableVersion>) -> bool {
         let Some(contact) = self.contact else { return false };
-        let is_latest = in_force > TableVersion(0) && in_force >= contact.announced;
+        let is_latest = in_force >= Some(contact.announced);
         let confirms = !self.confirmed && is_latest && contact.majority_at.is_some();
         self.confirmed |= confirms;
         confirms
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -179,7 +179,7 @@
         self.latencies.retain(|name, _| named(name));
         let routes = table.routes.len();
         out.push(Output::Log(Decision::TableInForce { table: table.version, routes }));
-        self.contact.confirm(table.version);
+        self.contact.confirm(Some(table.version));
         if table.policy.teams.is_empty() {
             self.services.values_mut().for_each(|s| s.fair_share = FairShare::default());
         }
--- a/crates/hornbeam_route/src/engine/teams.rs
+++ b/crates/hornbeam_route/src/engine/teams.rs
@@ -96,7 +96,7 @@
         contact: ControllerContact,
         out: &mut Vec<Output>,
     ) {
-        let in_force = self.table.as_ref().map(|t| t.version).unwrap_or_default();
+        let in_force = self.table.as_ref().map(|t| t.version);
         if self.contact.update(contact, in_force) {
             self.admit_waiting(now, out);
         }
--- a/crates/hornbeam_soak/src/main.rs
+++ b/crates/hornbeam_soak/src/main.rs
@@ -74,6 +74,8 @@
                 length: Duration::from_secs(args.seconds),
                 programs: (args.entries, args.controllers),
                 server_proxies: true,
+                // Earlier builds take version 0 for no table.
+                first_version: u64::from(args.other_binary.is_some() || !next.is_multiple_of(4)),
             };
             tasks.spawn(run_and_report(options, args.logs.clone()));
             next += 1;
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -54,6 +54,8 @@
     /// Whether a proxy stands in front of each server, which [`Fault::ServerLinks`] needs. It takes
     /// milliseconds to find the entry that opened a connection.
     pub server_proxies: bool,
+    /// Version of the first routing table.
+    pub first_version: u64,
 }
 
 /// Result of a run.
@@ -108,7 +110,7 @@
             ledger: Ledger::default(),
             apis,
             next_server: 0,
-            version: Arc::new(AtomicU64::new(1)),
+            version: Arc::new(AtomicU64::new(options.first_version)),
             stopping: Arc::default(),
             head_limit: Arc::new(AtomicUsize::new(
                 CallerLimits::default().max_header_bytes as usize,
@@ -123,13 +125,13 @@
             }
         }
         let end = Instant::now() + START_TIMEOUT;
-        while put_table(&run.apis, &table(1), 0).await != Some(200) {
+        while put_table(&run.apis, &table(options.first_version), 0).await != Some(200) {
             if Instant::now() > end {
                 return Err("no controller accepted the first routing table".to_owned());
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
-        run.ledger.record_acknowledged(1);
+        run.ledger.record_acknowledged(options.first_version);
         if !run.fleet.wait_ready(START_TIMEOUT).await {
             return Err("an entry did not become ready".to_owned());
         }
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -26,6 +26,7 @@
         length: Duration::from_secs(5),
         programs,
         server_proxies: false,
+        first_version: 1,
     }
 }
 
--- a/crates/hornbeamrun/tests/lost_log.rs
+++ b/crates/hornbeamrun/tests/lost_log.rs
@@ -17,6 +17,7 @@
         length: Duration::from_secs(5),
         programs: (1, 3),
         server_proxies: false,
+        first_version: 1,
     };
     FleetRun::start(&options, folder).await.expect("the fleet starts")
 }
--- a/crates/hornbeamrun/tests/odd_entries.rs
+++ b/crates/hornbeamrun/tests/odd_entries.rs
@@ -21,6 +21,7 @@
         length: Duration::from_secs(5),
         programs: (1, 1),
         server_proxies: false,
+        first_version: 1,
     };
     FleetRun::start(&options, folder).await.expect("the fleet starts")
 }
