A shard that the list names twice is searched once

Cause: each name of the list became a shard of its own, in requests, groups and the minimum share. Change: the list is a set.

--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -86,7 +86,8 @@
 /// Scatter-gather over all shards of an index.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Scatter {
-    /// Shards, each one a service; one table version names one snapshot of the index.
+    /// Shards, each one a service; one table version names one snapshot of the index. A set: see
+    /// [`Routing::with_distinct_shards`].
     pub shards: Vec<ServiceId>,
     /// Maximum number of records in the merged response.
     pub limit: u32,
@@ -95,6 +96,16 @@
 }
 
 impl Scatter {
+    fn repeats_shards(&self) -> bool {
+        let mut seen = HashSet::new();
+        !self.shards.iter().all(|shard| seen.insert(shard))
+    }
+
+    fn with_distinct_shards(&self) -> Self {
+        let distinct: IndexSet<&ServiceId> = self.shards.iter().collect();
+        Self { shards: distinct.into_iter().cloned().collect(), ..*self }
+    }
+
     /// Returns the minimum number of shards that a successful response covers; at least 1.
     pub fn min_shards(&self) -> usize {
         let exact = self.shards.len() as u64 * u64::from(self.min_covered_ppm);
@@ -271,6 +282,22 @@
         Ok(())
     }
 
+    /// Returns the table with each shard listed once per route. A list that names a shard again means the
+    /// same set of shards.
+    pub fn with_distinct_shards(self: Arc<Self>) -> Arc<Self> {
+        let repeats =
+            |r: &Arc<Route>| matches!(&r.target, Target::Scatter(s) if s.repeats_shards());
+        if !self.routes.iter().any(repeats) {
+            return self;
+        }
+        let mut table = Self::clone(&self);
+        for route in &mut table.routes {
+            let Target::Scatter(scatter) = &route.target else { continue };
+            *route = Arc::new(route.with_target(Target::Scatter(scatter.with_distinct_shards())));
+        }
+        Arc::new(table)
+    }
+
     /// Returns the difference from `base` to this table.
     pub fn delta_from(&self, base: &Routing) -> RoutingDelta {
         let key = |r: &Arc<Route>| (r.host.clone(), r.prefix.clone());
