Rules of a route do not reach others of its name

Cause: the policy keeps public routes and regions by name, while host and path select the route; nothing kept names apart. Change: names are distinct within a table. Controllers number equal names when they read a configuration, take them from the document for tables that an earlier build stored, and refuse an ambiguous name in our own format. Entries that get equal names from an earlier controller treat none of these routes as public. Why it works: everything that is kept by name is kept by route, on entries of the last build as well.

--- a/crates/hornbeam_controller/src/api.rs
+++ b/crates/hornbeam_controller/src/api.rs
@@ -157,7 +157,7 @@
         });
         match checked {
             Ok(table) => {
-                let table = Arc::new(table).with_distinct_shards();
+                let table = Arc::new(table).with_distinct_shards().with_distinct_names();
                 self.submit_and_wait(path, |tx| ApiRequest::PutTable(table, tx)).await
             }
             Err(e) => {
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -134,7 +134,15 @@
             return table.clone();
         }
         match (self.parse_table)(&table.document) {
-            Ok(parsed) => Arc::new(Routing { policy: parsed.policy, ..Routing::clone(table) }),
+            Ok(parsed) => {
+                let mut table = Routing::clone(table);
+                table.policy = parsed.policy;
+                if table.repeated_name().is_some() {
+                    // Proposed by an earlier build. The policy names the routes as they are named now.
+                    table.routes = parsed.routes;
+                }
+                Arc::new(table).with_distinct_shards()
+            }
             Err(e) => {
                 // The document was parsed before it was proposed, by this build or another one.
                 self.write_log("table", true, &json!({"belief": "policy_unreadable", "reason": e}));
--- a/crates/hornbeam_entry/tests/teams.rs
+++ b/crates/hornbeam_entry/tests/teams.rs
@@ -141,6 +141,27 @@
     });
 }
 
+/// Guards against a public route that opens another one of its name. In tables of earlier builds it cannot be
+/// told which of them is public.
+#[test]
+fn public_namesake() {
+    run_local(async {
+        let (server, heads) = start_server().await;
+        let core = core(server, true);
+        let mut table = Routing::clone(&table(&core, 2, &[("orchard", &["acorn"])]));
+        let mut other = (*table.routes[0]).clone();
+        other.prefix = "/other/".into();
+        table.routes.push(Arc::new(other));
+        Arc::make_mut(&mut table.policy).public_routes.insert("lookup".parse().unwrap());
+        core.step(Input::Table(Arc::new(table)));
+        let mut stream = connect(&core).await;
+        assert_eq!(send(&mut stream, "r1", "").await, 401);
+        assert_eq!(send(&mut stream, "r2", "hornbeam-key: oak\r\n").await, 401);
+        assert_eq!(send(&mut stream, "r3", KEY).await, 200);
+        assert_eq!(heads.borrow().len(), 1);
+    });
+}
+
 #[test]
 fn without_teams_both_fields_pass() {
     run_local(async {
--- a/crates/hornbeam_model/src/lib.rs
+++ b/crates/hornbeam_model/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`rate`]: request rates
 //! - [`rate_limit`]: rates that backend servers state that they accept
 //! - [`routing`]: routing table, its validation and route lookup
+//! - [`route_names`]: names of routes, each unique within its table
 //! - [`policy`]: rules of a routing table about teams, regions and cold servers
 //! - [`team`]: teams of callers, their keys and quotas
 //! - [`team_usage`]: use of the teams' quotas
@@ -28,6 +29,7 @@
 pub mod policy;
 pub mod rate;
 pub mod rate_limit;
+pub mod route_names;
 pub mod routing;
 pub mod search;
 pub mod server;
@@ -51,6 +53,7 @@
 pub use policy::{TrafficPolicy, WarmUp};
 pub use rate::RequestRate;
 pub use rate_limit::{RateReport, RateStatement};
+pub use route_names::distinct_names;
 pub use routing::{
     CallerLimits, Route, RouteIndex, RoutedService, Routing, RoutingDelta, RoutingError, Scatter,
     Target, WeightedService,
--- a/crates/hornbeam_model/src/routing.rs
+++ b/crates/hornbeam_model/src/routing.rs
@@ -54,6 +54,12 @@
         /// Name of the other team.
         second: TeamId,
     },
+    /// The policy names a route whose name another one has as well.
+    #[snafu(display("the policy names route {route}, and several have that name: rename them"))]
+    AmbiguousName {
+        /// Name of the routes.
+        route: RouteId,
+    },
     /// The target of a route names no service and no shard.
     #[snafu(display("route {route} has no target: name a service, weighted services or shards"))]
     NoTarget {
@@ -275,6 +281,9 @@
                 return Err(RoutingError::ZeroTimeout { route: name() });
             }
         }
+        if let Some(route) = self.ambiguous_name() {
+            return Err(RoutingError::AmbiguousName { route: route.clone() });
+        }
         if let Some((first, second)) = self.policy.teams_with_one_key() {
             let (first, second) = (first.clone(), second.clone());
             return Err(RoutingError::SharedKey { first, second });
--- a/crates/hornbeam_model/tests/routing_tables.rs
+++ b/crates/hornbeam_model/tests/routing_tables.rs
@@ -70,6 +70,21 @@
     assert!(matches!(no_target.check(), Err(RoutingError::NoTarget { .. })));
 }
 
+/// In a table that names public routes, the name of two routes does not tell which one is meant.
+#[test]
+fn ambiguous_name() {
+    let namesakes = || {
+        let target = || Target::Single(service("a"));
+        vec![route("r", "/a/", target()), route("r", "/b/", target()), route("s", "/c/", target())]
+    };
+    let mut table = table(1, namesakes());
+    assert_eq!(table.check(), Ok(()));
+    Arc::make_mut(&mut table.policy).public_routes.insert("s".parse().unwrap());
+    assert_eq!(table.check(), Ok(()));
+    Arc::make_mut(&mut table.policy).public_routes.insert("r".parse().unwrap());
+    assert!(matches!(table.check(), Err(RoutingError::AmbiguousName { .. })));
+}
+
 #[test]
 fn delta_round_trip() {
     let a = route("a", "/a/", Target::Single(service("a")));
--- a/crates/hornbeam_route/src/engine/servers.rs
+++ b/crates/hornbeam_route/src/engine/servers.rs
@@ -167,8 +167,8 @@
         if self.table.as_ref().is_some_and(|t| t.version >= table.version) {
             return;
         }
-        // Tables of earlier builds may repeat shards.
-        let table = table.with_distinct_shards();
+        // Tables of earlier builds may repeat shards and names.
+        let table = table.with_distinct_shards().with_distinct_names();
         self.index = hornbeam_model::RouteIndex::new(&table);
         self.team_keys = super::teams::TeamKeys::new(&table);
         self.quotas.set_policy(now, &table.policy);
