Responses are read by the grammar, not leniently

Cause: status line and fields were parsed leniently, lengths and chunk sizes by parsers for text, and nothing compared the length with the bytes that came. Content codings, partial content and repeated signatures were not looked at. Change: response_head and chunks keep to RFC 9110 and 9112, integrity asks for one signature and a whole body without a coding. Discarded responses are logged and counted by reason. A response to HEAD has no body; trailers are read. Why it works: every path takes its responses from the same reader, and what an earlier build relays is checked again.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -22,6 +22,7 @@
 
 use crate::core::{Core, ForwardedRequest};
 use crate::dialect::Dialect;
+use crate::integrity::{is_intact, is_response_to};
 use crate::response::{RawResponse, read_response};
 use crate::server_statements::{parse_load, parse_warm_up};
 
@@ -233,13 +234,18 @@
                 return Exchange::without_response(AttemptOutcome::Lost);
             }
         }
-        let response = tokio::time::timeout(remaining + READ_GRACE, read_response(&stream));
+        let response = read_response(&stream, request.is_head_request());
+        let response = tokio::time::timeout(remaining + READ_GRACE, response);
         return match response.await {
             Ok(Ok(response)) => handle_response(core, attempt, request, stream, response),
             Ok(Err(e)) if is_connection_end(&e) => {
                 Exchange::without_response(AttemptOutcome::ConnectionLost)
             }
-            Ok(Err(_)) | Err(_) => Exchange::without_response(AttemptOutcome::Lost),
+            Ok(Err(e)) => {
+                core.record_discarded(attempt, &request.id, "malformed", &e.to_string());
+                Exchange::without_response(AttemptOutcome::Lost)
+            }
+            Err(_) => Exchange::without_response(AttemptOutcome::Lost),
         };
     }
 }
@@ -296,12 +302,17 @@
 ) -> Exchange {
     let dialect = &core.dialect;
     let notice = server_notice(dialect, &response);
-    let echoed_id = response.header(&dialect.request_id);
-    if echoed_id.is_some_and(|id| id != request.id.as_bytes()) {
-        // This is the response to an earlier request on the connection.
+    if !is_response_to(dialect, &request.id, &response) {
+        let problem = "the response to an earlier request on the connection";
+        core.record_discarded(attempt, &request.id, "other_request", problem);
         return Exchange { outcome: AttemptOutcome::Lost, notice, response: None };
     }
-    let outcome = classify(dialect, &response);
+    let is_merged = core.with_engine(|e| e.merge_limit(attempt.request).is_some());
+    let outcome = classify(dialect, request, &response, is_merged);
+    if outcome == AttemptOutcome::Lost {
+        let problem = "no single signature, a part of the body, or a content coding";
+        core.record_discarded(attempt, &request.id, "not_intact", problem);
+    }
     let reusable = response.reusable
         && !notice.leaving
         && request.body.len() <= MAX_REUSE_BODY_BYTES
@@ -350,14 +361,19 @@
     }
 }
 
-fn classify(dialect: &Dialect, response: &RawResponse) -> AttemptOutcome {
+fn classify(
+    dialect: &Dialect,
+    request: &ForwardedRequest,
+    response: &RawResponse,
+    is_merged: bool,
+) -> AttemptOutcome {
     if response.status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptOutcome::WrongServer;
     }
     if response.header(&dialect.not_run).is_some() {
         return AttemptOutcome::NotRun;
     }
-    if response.header(&dialect.signature).is_none() {
+    if !is_intact(dialect, request, response, is_merged) {
         return AttemptOutcome::Lost;
     }
     outcome_of_run(response.status)
--- a/crates/hornbeam_entry/src/decision_log.rs
+++ b/crates/hornbeam_entry/src/decision_log.rs
@@ -1,6 +1,6 @@
 //! Writes the engine's decisions to the log and counts them.
 
-use hornbeam_route::Decision;
+use hornbeam_route::{Attempt, Decision};
 use serde_json::json;
 
 use crate::core::Core;
@@ -16,6 +16,23 @@
         self.log.write("head_refused", true, &fields);
     }
 
+    /// Logs and counts a response that does not count for its request. `reason` labels the count, `problem`
+    /// tells more.
+    pub(crate) fn record_discarded(
+        &self,
+        attempt: &Attempt,
+        request: &str,
+        reason: &'static str,
+        problem: &str,
+    ) {
+        self.metrics.discarded_responses.with_label_values(&[reason]).inc();
+        let fields = json!({
+            "decision": "response_discarded", "request": request, "server": attempt.server,
+            "reason": reason, "problem": problem,
+        });
+        self.log.write("response_discarded", true, &fields);
+    }
+
     pub(crate) fn record_decision(&self, decision: &Decision) {
         let kind = match decision {
             Decision::Admitted { .. } => "admitted",
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -167,6 +167,7 @@
     opened_connection: bool,
     mut stage: watch::Receiver<Stage>,
 ) -> (Response<Full<Bytes>>, bool) {
+    let is_head_request = req.method() == hyper::Method::HEAD;
     let received = tokio::select! {
         biased;
         received = read_request(&core, req, opened_connection) => received,
@@ -180,7 +181,7 @@
             let reply = rx.await;
             drop(guard);
             match reply {
-                Ok(reply) => reply_response(&core, reply),
+                Ok(reply) => reply_response(&core, reply, is_head_request),
                 Err(_) => text_response(
                     StatusCode::BAD_GATEWAY,
                     "the response was lost in this entry; the request may have been executed",
@@ -288,10 +289,14 @@
     }
 }
 
-fn reply_response(core: &Core, reply: Reply) -> Response<Full<Bytes>> {
+fn reply_response(core: &Core, reply: Reply, is_head_request: bool) -> Response<Full<Bytes>> {
     match reply {
         Reply::Forward(forwarded) => {
-            let headers = end_to_end(forwarded.headers());
+            let received = forwarded.headers();
+            // The length of the body that a GET request would get.
+            let length = received.get(header::CONTENT_LENGTH).filter(|_| is_head_request).cloned();
+            let mut headers = end_to_end(received);
+            headers.extend(length.map(|length| (header::CONTENT_LENGTH, length)));
             let mut response = Response::new(Full::new(forwarded.body));
             *response.status_mut() = forwarded.status;
             *response.headers_mut() = headers;
--- a/crates/hornbeam_entry/src/groups.rs
+++ b/crates/hornbeam_entry/src/groups.rs
@@ -1,5 +1,6 @@
 //! Shard groups in the core: those delegated to other entries and those gathered for them.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,13 +8,13 @@
 use hornbeam_model::{AttemptId, InstanceId, QueryId};
 use hornbeam_protocol::gather::{ForwardedResponse, GatheredResponse, GatheredResponses};
 use hornbeam_route::{AttemptOutcome, Delegation, Engine, GroupRequest, Input, merge_records};
-use hyper::StatusCode;
-use hyper::http::status::InvalidStatusCode;
 use serde_json::json;
 
 use crate::backends::outcome_of_run;
 use crate::core::{AttemptResult, Core, ForwardedRequest, GroupResponses};
+use crate::integrity::is_intact;
 use crate::response::RawResponse;
+use crate::response_head::invalid;
 
 impl Core {
     /// Stops gathering new groups for other entries and informs them.
@@ -59,20 +60,27 @@
     }
 
     /// Adds the response of a server that another entry forwarded; returns the outcome of the attempt.
-    /// An entry of an earlier build also forwards false refusals.
+    /// An entry of an earlier build also forwards false refusals and responses that are not intact.
     ///
     /// # Errors
     ///
-    /// Returns an error if the status is not valid.
+    /// Returns an error if the response is not valid.
     pub fn add_forwarded_response(
         &self,
         group: AttemptId,
         forwarded: ForwardedResponse,
-    ) -> Result<AttemptOutcome, InvalidStatusCode> {
-        let status = StatusCode::from_u16(forwarded.status)?;
-        let response = RawResponse::new(status, forwarded.head, forwarded.body);
+    ) -> io::Result<AttemptOutcome> {
+        let response = RawResponse::from_peer(forwarded.head, forwarded.body)?;
+        let key = self.with_engine(|e| e.delegated_request(group));
+        let request = key.and_then(|key| self.requests.borrow().get(&key).cloned());
+        if let Some(request) = request
+            && !is_intact(&self.dialect, &request, &response, false)
+        {
+            return Err(invalid("the response is not the one that its server sent"));
+        }
+        let outcome = outcome_of_run(response.status);
         self.results.borrow_mut().insert(group, AttemptResult::Response(response));
-        Ok(outcome_of_run(status))
+        Ok(outcome)
     }
 
     /// Forwards the response of a server to the origin entry of a gathered request.
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -10,6 +10,9 @@
 //! - `team_fields`: header fields about teams
 //! - [`front`]: HTTP server for callers' connections
 //! - [`response`]: reads a backend server's response
+//! - `response_head`: status line and header fields of a response, and how they determine its body
+//! - `chunks`: lines of the chunked transfer coding
+//! - `integrity`: whether a response is the one that its server sent
 //! - [`backends`]: connections to backend servers, attempts on them
 //! - [`groups`]: shard groups in the core
 //! - [`group_exchange`]: exchange of shard groups between entries
@@ -26,6 +29,7 @@
 
 pub mod backends;
 mod caller_stream;
+mod chunks;
 pub mod contact;
 pub mod core;
 mod decision_log;
@@ -36,10 +40,12 @@
 pub mod front;
 pub mod group_exchange;
 pub mod groups;
+mod integrity;
 pub mod metrics;
 pub mod peer_connection;
 pub mod request;
 pub mod response;
+mod response_head;
 pub mod run;
 pub mod server_statements;
 mod team_fields;
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -29,6 +29,8 @@
     pub zone_spills: IntCounterVec,
     /// Attempts that ended, by outcome.
     pub outcomes: IntCounterVec,
+    /// Responses of servers that do not count for their request, by reason.
+    pub discarded_responses: IntCounterVec,
     /// Servers that stated in a response that they are leaving or want a pause, by kind.
     pub notices: IntCounterVec,
     /// Shards that waited because the servers of their service are cold.
@@ -98,6 +100,11 @@
                 "change",
             ),
             outcomes: counters("hornbeam_entry_outcomes_total", "Attempts ended.", "outcome"),
+            discarded_responses: counters(
+                "hornbeam_entry_discarded_responses_total",
+                "Responses of servers that do not count for their request.",
+                "reason",
+            ),
             notices: counters(
                 "hornbeam_entry_server_notices_total",
                 "Servers that stated that they are leaving, want a pause or accept a rate.",
--- a/crates/hornbeam_entry/src/request.rs
+++ b/crates/hornbeam_entry/src/request.rs
@@ -26,6 +26,11 @@
 }
 
 impl ForwardedRequest {
+    /// Returns true if a response to the request has no body (RFC 9110, section 9.3.2).
+    pub fn is_head_request(&self) -> bool {
+        self.head.starts_with(b"HEAD ")
+    }
+
     /// Adds the name of the caller's team to the head and to the fingerprint.
     pub(crate) fn set_team(&mut self, field: &HeaderName, team: &TeamId) {
         self.fingerprint = self.fingerprint.of_team(team);
--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -1,7 +1,7 @@
 //! Reads a backend server's HTTP response from a connection.
 //!
-//! A response is accepted only if it is complete according to its framing. Bytes after it belong to
-//! no request, so the connection is not reused.
+//! A response is accepted only if it is complete according to its framing, and if nothing but another
+//! response follows it.
 
 use std::io;
 
@@ -10,16 +10,14 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use tokio::net::TcpStream;
 
-/// Longest response head accepted from a server, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+use crate::chunks::{ChunkLine, chunk_line, trailer_section};
+use crate::response_head::{self, Framing, HeadScanner, ResponseHead, begins_response, invalid};
+
 /// Longest response body accepted from a server, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
-/// Longest line before a chunk, with its extensions, in bytes.
-const MAX_CHUNK_LINE_BYTES: usize = 1 << 10;
 /// Maximum number of informational responses before the final one.
 const MAX_INFORMATIONAL: u32 = 16;
-/// Maximum number of header fields in a response.
-const MAX_HEADER_FIELDS: usize = 64;
+const CRLF: &[u8] = b"\r\n";
 /// Buffer capacity reserved for one read, in bytes: most shard responses fit into one read.
 const READ_BYTES: usize = 4 << 10;
 
@@ -37,9 +35,20 @@
 }
 
 impl RawResponse {
-    /// Creates a response that another entry received; its connection is not here.
-    pub fn new(status: StatusCode, head: Vec<u8>, body: Vec<u8>) -> Self {
-        Self { status, head: head.into(), body: body.into(), reusable: false }
+    /// Creates a response that another entry has read and forwarded. An entry of an earlier build may have
+    /// accepted what [`read_response`] refuses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if head and body are not a valid response.
+    pub fn from_peer(head: Vec<u8>, body: Vec<u8>) -> io::Result<Self> {
+        let ResponseHead { status, framing, .. } = response_head::parse(&head, false)?;
+        // A response to HEAD states the length of a body that it does not have.
+        if matches!(framing, Framing::Length(length) if !body.is_empty() && length != body.len() as u64)
+        {
+            return Err(invalid("the body is not as long as the head states"));
+        }
+        Ok(Self { status, head: head.into(), body: body.into(), reusable: false })
     }
 
     /// Returns the bytes of the status line and the header fields.
@@ -62,6 +71,12 @@
         fields(&self.head).find(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes())).map(|(_, v)| v)
     }
 
+    /// Returns all values of a header field; `name` is compared ignoring ASCII case.
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = move |n: &[u8]| n.eq_ignore_ascii_case(name.as_bytes());
+        fields(&self.head).filter(move |(n, _)| named(n)).map(|(_, v)| v)
+    }
+
     /// Returns all header fields whose name and value are valid.
     pub fn headers(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
@@ -75,179 +90,169 @@
     }
 }
 
-/// Returns the name and value of each header field; the head has already been parsed successfully.
-fn fields(head: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
+/// Returns the name and value of each header field of a valid head.
+pub(crate) fn fields(head: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
     head.split(|b| *b == b'\n').skip(1).filter_map(|line| {
         let colon = memchr::memchr(b':', line)?;
         Some((&line[..colon], line[colon + 1..].trim_ascii()))
     })
 }
 
-/// How the end of a body is determined (RFC 9112, section 6.3).
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Framing {
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
-fn invalid(problem: &'static str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, problem)
-}
-
-/// Reads one complete response and skips informational ones (1xx) before it.
+/// Reads one complete response and skips informational ones (1xx) before it. `to_head_request` tells that
+/// the request was a HEAD request, whose response has no body.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection fails or ends early, or if the bytes are not a valid HTTP
-/// response within the limits of this module.
-pub async fn read_response(stream: &TcpStream) -> io::Result<RawResponse> {
-    let mut buf = BytesMut::with_capacity(READ_BYTES);
+/// response within the limits of this module (`InvalidData`).
+pub async fn read_response(stream: &TcpStream, to_head_request: bool) -> io::Result<RawResponse> {
+    let mut reader = Reader::new(stream);
     for _ in 0..=MAX_INFORMATIONAL {
-        let (status, length, framing) = read_head(stream, &mut buf).await?;
-        let head = buf.split_to(length).freeze();
+        let ResponseHead { status, length, framing, is_persistent } =
+            reader.read_head(to_head_request).await?;
+        let head = reader.buf.split_to(length).freeze();
         if status.is_informational() {
             continue;
         }
         let body = match framing {
-            Framing::Length(length) => read_fixed_length(stream, &mut buf, length).await?,
-            Framing::Chunked => read_chunked(stream, &mut buf).await?,
-            Framing::UntilClose => read_until_close(stream, &mut buf).await?,
+            Framing::Length(length) => reader.read_fixed_length(length).await?,
+            Framing::Chunked => reader.read_chunked().await?,
+            Framing::UntilClose => reader.read_until_close().await?,
         };
-        // Bytes after the response belong to no request; such a connection is not reused.
-        let reusable = buf.is_empty() && framing != Framing::UntilClose;
+        let has_more = reader.has_more_bytes()?;
+        let reusable = !has_more && is_persistent && framing != Framing::UntilClose;
         return Ok(RawResponse { status, head, body, reusable });
     }
     Err(invalid("more than 16 informational responses precede the final one"))
 }
 
-/// Reads until the head is complete; returns its status and length and the framing of the body.
-async fn read_head(
-    stream: &TcpStream,
-    buf: &mut BytesMut,
-) -> io::Result<(StatusCode, usize, Framing)> {
-    loop {
-        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
-        let mut response = httparse::Response::new(&mut fields);
-        match response.parse(buf) {
-            Ok(httparse::Status::Complete(length)) => {
-                let status = StatusCode::from_u16(response.code.unwrap_or(0));
-                let status = status.map_err(|_| invalid("the response status code is invalid"))?;
-                return Ok((status, length, framing(status, response.headers)?));
-            }
-            Ok(httparse::Status::Partial) if buf.len() > MAX_HEAD_BYTES => {
-                return Err(invalid("the response head is longer than 64 KiB"));
-            }
-            Ok(httparse::Status::Partial) => {}
-            Err(_) => return Err(invalid("the response head is not valid HTTP/1")),
-        }
-        read_some(stream, buf).await?;
-    }
+/// Reads from a connection into a buffer.
+struct Reader<'a> {
+    stream: &'a TcpStream,
+    buf: BytesMut,
+    /// True if the last read took all bytes that had arrived.
+    drained: bool,
 }
 
-fn framing(status: StatusCode, fields: &[httparse::Header<'_>]) -> io::Result<Framing> {
-    let mut length = None;
-    let mut chunked = false;
-    for field in fields {
-        if field.name.eq_ignore_ascii_case("content-length") {
-            let text = std::str::from_utf8(field.value).unwrap_or_default();
-            let value: usize =
-                text.trim().parse().map_err(|_| invalid("the content-length is not a number"))?;
-            if length.is_some_and(|known| known != value) {
-                return Err(invalid("the response has two different content-length values"));
-            }
-            length = Some(value);
-        } else if field.name.eq_ignore_ascii_case("transfer-encoding") {
-            chunked = field.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
-            if !chunked {
-                return Err(invalid("the transfer-encoding is not chunked"));
+impl<'a> Reader<'a> {
+    fn new(stream: &'a TcpStream) -> Self {
+        Self { stream, buf: BytesMut::with_capacity(READ_BYTES), drained: false }
+    }
+
+    async fn read_head(&mut self, to_head_request: bool) -> io::Result<ResponseHead> {
+        let mut scanner = HeadScanner::default();
+        loop {
+            if let Some(head) = scanner.scan(&self.buf, to_head_request)? {
+                return Ok(head);
             }
+            self.read_some().await?;
         }
     }
-    if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-        || status.is_informational()
-    {
-        return Ok(Framing::Length(0));
-    }
-    match (chunked, length) {
-        (true, Some(_)) => {
-            Err(invalid("the response has both content-length and transfer-encoding"))
+
+    async fn read_fixed_length(&mut self, length: u64) -> io::Result<Bytes> {
+        let length = body_length(0, length)?;
+        while self.buf.len() < length {
+            self.read_some().await?;
         }
-        (true, None) => Ok(Framing::Chunked),
-        (false, Some(length)) if length > MAX_BODY_BYTES => {
-            Err(invalid("the response body is longer than 8 MiB"))
+        Ok(self.buf.split_to(length).freeze())
+    }
+
+    async fn read_until_close(&mut self) -> io::Result<Bytes> {
+        loop {
+            match self.read_some().await {
+                Ok(()) => {
+                    body_length(self.buf.len(), 0)?;
+                }
+                // Only an orderly close (FIN) completes a body that is delimited by the close.
+                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => {
+                    return Ok(self.buf.split().freeze());
+                }
+                Err(e) => return Err(e),
+            }
         }
-        (false, Some(length)) => Ok(Framing::Length(length)),
-        (false, None) => Ok(Framing::UntilClose),
     }
-}
 
-async fn read_fixed_length(
-    stream: &TcpStream,
-    buf: &mut BytesMut,
-    length: usize,
-) -> io::Result<Bytes> {
-    while buf.len() < length {
-        read_some(stream, buf).await?;
+    async fn read_chunked(&mut self) -> io::Result<Bytes> {
+        let mut body = BytesMut::new();
+        loop {
+            let ChunkLine { length, size } = self.read_part(chunk_line).await?;
+            let _ = self.buf.split_to(length);
+            if size == 0 {
+                // Trailers state nothing that the caller needs.
+                let length = self.read_part(trailer_section).await?;
+                let _ = self.buf.split_to(length);
+                return Ok(body.freeze());
+            }
+            let size = body_length(body.len(), size)? - body.len();
+            while self.buf.len() < size + CRLF.len() {
+                self.read_some().await?;
+            }
+            if &self.buf[size..size + CRLF.len()] != CRLF {
+                return Err(invalid("a chunk does not end with CRLF"));
+            }
+            body.extend_from_slice(&self.buf[..size]);
+            let _ = self.buf.split_to(size + CRLF.len());
+        }
     }
-    Ok(buf.split_to(length).freeze())
-}
 
-async fn read_until_close(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<Bytes> {
-    loop {
-        match read_some(stream, buf).await {
-            Ok(()) if buf.len() > MAX_BODY_BYTES => {
-                return Err(invalid("the response body is longer than 8 MiB"));
+    /// Reads until `parse` finds a complete part at the start of the buffer.
+    async fn read_part<T>(
+        &mut self,
+        parse: impl Fn(&[u8]) -> io::Result<Option<T>>,
+    ) -> io::Result<T> {
+        loop {
+            if let Some(part) = parse(&self.buf)? {
+                return Ok(part);
             }
-            Ok(()) => {}
-            // Only an orderly close (FIN) completes a body that is delimited by the close.
-            Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return Ok(buf.split().freeze()),
-            Err(e) => return Err(e),
+            self.read_some().await?;
         }
     }
-}
 
-async fn read_chunked(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<Bytes> {
-    let mut body = BytesMut::new();
-    loop {
-        let (start, size) = loop {
-            match httparse::parse_chunk_size(buf) {
-                Ok(httparse::Status::Complete((start, size))) => break (start, size as usize),
-                Ok(httparse::Status::Partial) if buf.len() > MAX_CHUNK_LINE_BYTES => {
-                    return Err(invalid("the line before a chunk is longer than 1 KiB"));
-                }
-                Ok(httparse::Status::Partial) => read_some(stream, buf).await?,
-                Err(_) => return Err(invalid("the chunk size is invalid")),
+    async fn read_some(&mut self) -> io::Result<()> {
+        loop {
+            self.stream.readable().await?;
+            match self.try_read() {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(_) => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
             }
-        };
-        if body.len().saturating_add(size) > MAX_BODY_BYTES {
-            return Err(invalid("the response body is longer than 8 MiB"));
         }
-        // The chunk and the CRLF after it. Trailers after the last chunk are not accepted.
-        let end = start + size + 2;
-        while buf.len() < end {
-            read_some(stream, buf).await?;
+    }
+
+    fn try_read(&mut self) -> io::Result<usize> {
+        self.buf.reserve(READ_BYTES);
+        let room = self.buf.capacity() - self.buf.len();
+        let read = self.stream.try_read_buf(&mut self.buf)?;
+        self.drained = read < room;
+        Ok(read)
+    }
+
+    /// Returns true if more bytes have arrived after a response. They belong to no request, so the connection
+    /// is not reused.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error unless they begin another response: the head may state too short a length.
+    fn has_more_bytes(&mut self) -> io::Result<bool> {
+        if self.buf.is_empty() && !self.drained {
+            // An error or the end of the connection shows up when it is used again.
+            let _ = self.try_read();
         }
-        if &buf[start + size..end] != b"\r\n" {
-            return Err(invalid("a chunk does not end with CRLF"));
+        if self.buf.is_empty() {
+            return Ok(false);
         }
-        body.extend_from_slice(&buf[start..start + size]);
-        let _ = buf.split_to(end);
-        if size == 0 {
-            return Ok(body.freeze());
+        if begins_response(&self.buf) {
+            return Ok(true);
         }
+        Err(invalid("bytes that are no response follow the body"))
     }
 }
 
-async fn read_some(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<()> {
-    buf.reserve(READ_BYTES);
-    loop {
-        stream.readable().await?;
-        match stream.try_read_buf(buf) {
-            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(_) => return Ok(()),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-    }
+/// Returns the length of a body with `more` bytes after the first `length` ones.
+fn body_length(length: usize, more: u64) -> io::Result<usize> {
+    let total = usize::try_from(more).ok().and_then(|more| length.checked_add(more));
+    total
+        .filter(|total| *total <= MAX_BODY_BYTES)
+        .ok_or_else(|| invalid("the response body is longer than 8 MiB"))
 }
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -14,7 +14,8 @@
 use hornbeam_entry::group_exchange::{self, GroupExchange};
 use hornbeam_entry::metrics::Metrics;
 use hornbeam_model::{
-    Fingerprint, Incarnation, Route, RoutedService, Routing, ServiceId, TableVersion, Target,
+    Fingerprint, Incarnation, Route, RoutedService, Routing, Scatter, ServiceId, TableVersion,
+    Target,
 };
 use hornbeam_node::clock::Clock;
 use hornbeam_node::structured::StructuredLog;
@@ -60,6 +61,18 @@
     core
 }
 
+/// An entry with this name whose route searches one shard, with a server at this address.
+pub fn merging_core(name: &str, address: SocketAddr) -> Rc<Core> {
+    let core = core_without_table(name);
+    let scatter = Scatter { shards: vec![service()], limit: 1, min_covered_ppm: 1_000_000 };
+    let mut table = table(true);
+    table.routes = vec![Arc::new(route(true).with_target(Target::Scatter(scatter)))];
+    core.step(Input::EntryCount(1));
+    core.step(Input::Table(Arc::new(table)));
+    core.step(Input::Servers(servers(&[address])));
+    core
+}
+
 fn service() -> ServiceId {
     "tablet".parse().unwrap()
 }
--- a/crates/hornbeam_entry/tests/cut_heads.rs
+++ b/crates/hornbeam_entry/tests/cut_heads.rs
@@ -53,7 +53,7 @@
             let (mut server, _) = listener.accept().await.unwrap();
             server.write_all(&head.as_bytes()[..length]).await.unwrap();
             drop(server);
-            let read = read_response(&stream).await;
+            let read = read_response(&stream, false).await;
             assert!(read.is_err(), "{:?} is a response: {read:?}", &head[..length]);
         }
     }
--- a/crates/hornbeam_entry/tests/responses.rs
+++ b/crates/hornbeam_entry/tests/responses.rs
@@ -34,7 +34,8 @@
         }
     });
     let stream = TcpStream::connect(address).await.unwrap();
-    let response = tokio::time::timeout(Duration::from_secs(1), read_response(&stream)).await;
+    let response =
+        tokio::time::timeout(Duration::from_secs(1), read_response(&stream, false)).await;
     server.abort();
     response.expect("the read ends within a second")
 }
@@ -145,8 +146,22 @@
             tokio::time::sleep(Duration::from_secs(60)).await;
         });
         let stream = TcpStream::connect(address).await.unwrap();
-        let read = tokio::time::timeout(Duration::from_secs(20), read_response(&stream)).await;
+        let read =
+            tokio::time::timeout(Duration::from_secs(20), read_response(&stream, false)).await;
         server.abort();
         assert!(read.expect("the read ends by itself").is_err());
     });
 }
+
+/// A response to HEAD states the length of a body that it does not have.
+#[tokio::test]
+async fn response_to_head() {
+    let text = format!("{HEAD}Content-Length: 5\r\n\r\n");
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (mut server, _) = listener.accept().await.unwrap();
+    server.write_all(text.as_bytes()).await.unwrap();
+    let response = tokio::time::timeout(Duration::from_secs(1), read_response(&stream, true)).await;
+    let response = response.expect("no body is awaited").unwrap();
+    assert!(response.body.is_empty() && response.reusable);
+}
--- a/crates/hornbeam_route/src/engine/mod.rs
+++ b/crates/hornbeam_route/src/engine/mod.rs
@@ -62,7 +62,7 @@
 
 use hornbeam_model::{
     AttemptId, Fingerprint, Incarnation, Mono, QueryId, RequestRate, RouteId, RouteIndex, Routing,
-    ServerId, ServiceId, TeamId,
+    ServerId, ServiceId, Target, TeamId,
 };
 use hornbeam_traffic::latency::LatencyWindow;
 use indexmap::{IndexMap, IndexSet};
@@ -348,6 +348,17 @@
         self.requests.len() + self.awaiting_table.len()
     }
 
+    /// Returns the maximum number of records in the response if the responses to a request are merged.
+    pub fn merge_limit(&self, key: QueryId) -> Option<usize> {
+        let running = self.requests.get(&key)?;
+        matches!(running.route.target, Target::Scatter(_)).then(|| running.limit())
+    }
+
+    /// Returns the request that a delegated group belongs to.
+    pub fn delegated_request(&self, group: AttemptId) -> Option<QueryId> {
+        self.groups.get(&group).map(|d| d.request)
+    }
+
     /// Returns the routing table in force.
     pub fn table(&self) -> Option<&Arc<Routing>> {
         self.table.as_ref()
