One budget for the memory of all answers

Cause: each answer has a bound, their sum had none, nor had request bodies and messages between entries. Change: what servers, callers and other entries send is reserved from 40 % of memory_mb before it is read, beyond 4 KiB each, and returned with the last reference to it. Large responses wait in their connections for room for all of them, parts of a merged response are cut to its limit, request bodies without room are refused as not run. Why it works: nothing is read that has no room, and no holder of room waits for more.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -234,7 +234,7 @@
                 return Exchange::without_response(AttemptOutcome::Lost);
             }
         }
-        let response = read_response(&stream, request.is_head_request());
+        let response = read_response(&stream, request.is_head_request(), &core.memory);
         let response = tokio::time::timeout(remaining + READ_GRACE, response);
         return match response.await {
             Ok(Ok(response)) => handle_response(core, attempt, request, stream, response),
@@ -242,7 +242,9 @@
                 Exchange::without_response(AttemptOutcome::ConnectionLost)
             }
             Ok(Err(e)) => {
-                core.record_discarded(attempt, &request.id, "malformed", &e.to_string());
+                let is_malformed = e.kind() == io::ErrorKind::InvalidData;
+                let reason = if is_malformed { "malformed" } else { "no_room" };
+                core.record_discarded(attempt, &request.id, reason, &e.to_string());
                 Exchange::without_response(AttemptOutcome::Lost)
             }
             Err(_) => Exchange::without_response(AttemptOutcome::Lost),
@@ -251,9 +253,9 @@
 }
 
 /// Returns true if reading failed because the connection has ended, and false if what was read is no
-/// valid response.
+/// valid response or there was no memory for it.
 fn is_connection_end(e: &io::Error) -> bool {
-    e.kind() != io::ErrorKind::InvalidData
+    !matches!(e.kind(), io::ErrorKind::InvalidData | io::ErrorKind::OutOfMemory)
 }
 
 fn encode_request(
@@ -298,7 +300,7 @@
     attempt: &Attempt,
     request: &ForwardedRequest,
     stream: TcpStream,
-    response: RawResponse,
+    mut response: RawResponse,
 ) -> Exchange {
     let dialect = &core.dialect;
     let notice = server_notice(dialect, &response);
@@ -307,8 +309,8 @@
         core.record_discarded(attempt, &request.id, "other_request", problem);
         return Exchange { outcome: AttemptOutcome::Lost, notice, response: None };
     }
-    let is_merged = core.with_engine(|e| e.merge_limit(attempt.request).is_some());
-    let outcome = classify(dialect, request, &response, is_merged);
+    let merge_limit = core.with_engine(|e| e.merge_limit(attempt.request));
+    let outcome = classify(dialect, request, &response, merge_limit.is_some());
     if outcome == AttemptOutcome::Lost {
         let problem = "no single signature, a part of the body, or a content coding";
         core.record_discarded(attempt, &request.id, "not_intact", problem);
@@ -323,6 +325,9 @@
         let connection = IdleConnection { stream, expires_at, last_request };
         core.backends().put(&attempt.server, connection, attempt.share);
     }
+    if let Some(limit) = merge_limit {
+        response.keep_greatest(limit, &core.memory);
+    }
     Exchange { outcome, notice, response: outcome.has_run().then_some(response) }
 }
 
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -19,6 +19,7 @@
 use crate::backends::{Backends, Exchange};
 use crate::dialect::Dialect;
 use crate::group_exchange::GroupExchange;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 pub use crate::request::{ForwardedRequest, ReceivedRequest};
 use crate::response::RawResponse;
@@ -39,7 +40,7 @@
         /// Number of missing shards.
         missing: usize,
         /// Merged records.
-        body: Vec<u8>,
+        body: Bytes,
     },
     /// The request is refused.
     Refuse(Refusal),
@@ -51,7 +52,7 @@
     /// Signatures of the shard responses.
     pub signatures: Vec<Vec<u8>>,
     /// Greatest records of the shard responses: one merged body for each message received.
-    pub records: Vec<Vec<u8>>,
+    pub records: Vec<Bytes>,
 }
 
 /// The result of an attempt or of a delegated group.
@@ -71,6 +72,8 @@
     pub dialect: Dialect,
     /// Metrics of this entry.
     pub metrics: Metrics,
+    /// Memory for what servers, callers and other entries send.
+    pub memory: MemoryBudget,
     pub(crate) log: StructuredLog,
     backends: Backends,
     /// Shard groups that are exchanged with other entries.
@@ -103,8 +106,10 @@
         metrics: Metrics,
         log: StructuredLog,
         group_exchange: GroupExchange,
+        memory: MemoryBudget,
     ) -> Rc<Self> {
         Rc::new(Self {
+            memory,
             engine: RefCell::new(engine),
             clock,
             dialect,
@@ -273,6 +278,7 @@
             self.timer.notify_one();
         }
         self.metrics.in_flight.set(self.with_engine(Engine::in_flight) as i64);
+        self.metrics.reserved_bytes.set(self.memory.used() as i64);
     }
 
     fn execute(self: &Rc<Self>, output: Output) {
@@ -391,11 +397,11 @@
                 }
                 AttemptResult::Group(group) => {
                     signatures.extend(group.signatures);
-                    bodies.extend(group.records.into_iter().map(Bytes::from));
+                    bodies.extend(group.records);
                 }
             }
         }
-        let body = merge_records(bodies.iter().map(|b| &b[..]), limit);
+        let body = self.memory.hold(merge_records(bodies.iter().map(|b| &b[..]), limit));
         self.metrics.missing_shards.inc_by(missing as u64);
         Reply::Merged { signatures, missing, body }
     }
--- a/crates/hornbeam_entry/src/decision_log.rs
+++ b/crates/hornbeam_entry/src/decision_log.rs
@@ -16,6 +16,13 @@
         self.log.write("head_refused", true, &fields);
     }
 
+    /// Logs and counts a request that was refused because there is no memory for its body.
+    pub(crate) fn record_refused_body(&self) {
+        self.metrics.refusals.with_label_values(&["NoMemory"]).inc();
+        let fields = json!({"decision": "body_refused", "reserved_bytes": self.memory.used()});
+        self.log.write("body_refused", true, &fields);
+    }
+
     /// Logs and counts a response that does not count for its request. `reason` labels the count, `problem`
     /// tells more.
     pub(crate) fn record_discarded(
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -8,11 +8,11 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hornbeam_model::{CallerLimits, Fingerprint, QueryId};
+use bytes::{Bytes, BytesMut};
+use hornbeam_model::{Fingerprint, QueryId};
 use hornbeam_node::program::next_connection;
 use hornbeam_route::{Refusal, RefusalKind};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -229,7 +229,7 @@
             }
         },
     };
-    let body = read_body(body, core.caller_limits.get()).await?;
+    let body = read_body(core, body).await?;
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let path = SmolStr::new(head.uri.path());
     let target = target.to_owned();
@@ -255,14 +255,13 @@
     })
 }
 
-/// Reads a request body within the limits of the table in force, if there is one.
-async fn read_body(
-    body: Incoming,
-    limits: Option<CallerLimits>,
-) -> Result<Bytes, Response<Full<Bytes>>> {
+/// Reads a request body within the limits of the table in force, if there is one, and within the memory of
+/// this entry.
+async fn read_body(core: &Core, body: Incoming) -> Result<Bytes, Response<Full<Bytes>>> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    let limits = core.caller_limits.get();
     let max = limits.unwrap_or_default().max_body_bytes as usize;
     let too_large = || match limits {
         Some(_) => closing_response(
@@ -275,10 +274,17 @@
     if body.size_hint().lower() > max as u64 {
         return Err(too_large());
     }
-    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(closing_response(
+    match tokio::time::timeout(BODY_TIMEOUT, collect_body(core, body, max)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong)) => Err(too_large()),
+        Ok(Err(BodyError::NoMemory)) => {
+            core.record_refused_body();
+            let problem = "this entry holds too many large messages: retry at another entry";
+            let mut response = closing_response(StatusCode::SERVICE_UNAVAILABLE, problem);
+            response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("0"));
+            Err(response)
+        }
+        Ok(Err(BodyError::Invalid)) => Err(closing_response(
             StatusCode::BAD_REQUEST,
             "the request body is malformed or incomplete: send it again",
         )),
@@ -289,6 +295,34 @@
     }
 }
 
+/// Why a request body is not used.
+enum BodyError {
+    TooLong,
+    /// Nothing has run.
+    NoMemory,
+    Invalid,
+}
+
+async fn collect_body(core: &Core, mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
+    let mut reservation = core.memory.reservation();
+    let stated = body.size_hint().lower().min(max as u64) as usize;
+    if !reservation.try_extend(stated) {
+        return Err(BodyError::NoMemory);
+    }
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Invalid)?.into_data() else { continue };
+        if bytes.len() + data.len() > max {
+            return Err(BodyError::TooLong);
+        }
+        if !reservation.try_extend(bytes.len() + data.len()) {
+            return Err(BodyError::NoMemory);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(reservation.hold(bytes.freeze()))
+}
+
 fn reply_response(core: &Core, reply: Reply, is_head_request: bool) -> Response<Full<Bytes>> {
     match reply {
         Reply::Forward(forwarded) => {
@@ -303,7 +337,7 @@
             response
         }
         Reply::Merged { signatures, missing, body } => {
-            let mut response = Response::new(Full::new(Bytes::from(body)));
+            let mut response = Response::new(Full::new(body));
             let headers = response.headers_mut();
             // Each signature was a valid header value; joining them with commas keeps the value
             // valid.
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -28,6 +28,8 @@
 use crate::peer_connection::PeerConnection;
 use crate::response::RawResponse;
 
+/// Longest merged records of a group that fit into a message with their signatures, in bytes.
+const MAX_RECORD_BYTES: usize = 8 << 20;
 /// Longest time to open a connection to another entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -201,6 +203,13 @@
         let mut gathered = self.gathered.borrow_mut();
         let Some(g) = gathered.get(&key) else { return };
         responses.group = g.group;
+        if responses.records.len() > MAX_RECORD_BYTES {
+            log::error!(
+                "the records of a group are too long for a message: its shards are missing"
+            );
+            responses.responses.clear();
+            responses.records.clear();
+        }
         let last = responses.last;
         g.origin.send(&GatherDown::Responses(responses));
         if last {
@@ -272,7 +281,7 @@
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let connection = match connect.await {
         Ok(Ok(stream)) => socket::prepare(&stream, socket::PEERS)
-            .and_then(|()| PeerConnection::new(stream, exchange.key.clone()))
+            .and_then(|()| PeerConnection::new(stream, exchange.key.clone(), &core.memory))
             .ok(),
         _ => None,
     };
@@ -387,7 +396,7 @@
     let signatures = responses.responses.into_iter().map(|r| r.signature).collect();
     core.add_group_responses(
         group,
-        GroupResponses { signatures, records: vec![responses.records] },
+        GroupResponses { signatures, records: vec![core.memory.hold(responses.records)] },
     );
     core.step(Input::GroupEvent { group, event });
 }
@@ -396,7 +405,8 @@
 pub async fn accept(core: Rc<Core>, listener: TcpListener) {
     loop {
         let stream = next_connection(&listener).await;
-        let connection = match PeerConnection::new(stream, core.group_exchange.key.clone()) {
+        let key = core.group_exchange.key.clone();
+        let connection = match PeerConnection::new(stream, key, &core.memory) {
             Ok(connection) => Rc::new(connection),
             Err(e) => {
                 log::warn!(
@@ -478,7 +488,7 @@
         id: request.request.clone(),
         fingerprint: request.fingerprint,
         head: request.head,
-        body: request.body.into(),
+        body: core.memory.hold(request.body),
     };
     let group = GroupRequest {
         key,
--- a/crates/hornbeam_entry/src/groups.rs
+++ b/crates/hornbeam_entry/src/groups.rs
@@ -70,7 +70,7 @@
         group: AttemptId,
         forwarded: ForwardedResponse,
     ) -> io::Result<AttemptOutcome> {
-        let response = RawResponse::from_peer(forwarded.head, forwarded.body)?;
+        let response = RawResponse::from_peer(forwarded.head, forwarded.body, &self.memory)?;
         let key = self.with_engine(|e| e.delegated_request(group));
         let request = key.and_then(|key| self.requests.borrow().get(&key).cloned());
         if let Some(request) = request
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -49,6 +49,8 @@
     pub gathered_groups: IntCounter,
     /// Requests without a final response.
     pub in_flight: IntGauge,
+    /// Bytes reserved for what servers, callers and other entries send.
+    pub reserved_bytes: IntGauge,
     /// Backend servers that accept new requests.
     pub usable_servers: IntGauge,
     /// Zones whose servers are evacuated.
@@ -136,6 +138,10 @@
                 "Shard groups gathered for other entries.",
             ),
             in_flight: gauge("hornbeam_entry_in_flight", "Requests without a final response."),
+            reserved_bytes: gauge(
+                "hornbeam_entry_reserved_bytes",
+                "Bytes reserved for responses, messages and request bodies.",
+            ),
             usable_servers: gauge(
                 "hornbeam_entry_usable_servers",
                 "Backend servers that accept new requests.",
--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -15,22 +15,52 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::memory::{MemoryBudget, Reservation};
+
 /// Longest message that is accepted or sent, in bytes: the longest response body with its head.
 const MAX_MESSAGE_BYTES: usize = 9 << 20;
 /// Buffered bytes above which the next message closes the connection, because the peer does not
 /// keep up. Multiplied by the number of entries in a zone, it is a fraction of the smallest entry's
-/// memory.
+/// memory. Large messages do not count, since each holds up those behind it.
 const MAX_PENDING_BYTES: usize = 2 << 20;
+/// Length above which a message is large, in bytes: its memory is reserved before it is read.
+const LARGE_MESSAGE_BYTES: usize = 256 << 10;
 /// Bytes that are read before the messages in them are handled, unless a longer one is incomplete.
 const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES + MAX_PENDING_BYTES;
 /// Buffer capacity reserved for one read, in bytes.
 const READ_BYTES: usize = 8 << 10;
 
+/// Bytes that the socket has not accepted yet.
+struct Pending {
+    bytes: BytesMut,
+    /// Length of the large messages since nothing was buffered.
+    large: usize,
+    reservation: Reservation,
+}
+
+impl Pending {
+    fn extend(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+        // What is buffered here was held as a response before.
+        self.reservation.set(self.bytes.len());
+    }
+
+    fn advance(&mut self, written: usize) {
+        self.bytes.advance(written);
+        if self.bytes.is_empty() {
+            self.bytes = BytesMut::new();
+            self.large = 0;
+        }
+        self.reservation.set(self.bytes.len());
+    }
+}
+
 /// One end of a connection between two entries.
 pub struct PeerConnection {
     stream: TcpStream,
     key: FrameKey,
-    pending: RefCell<BytesMut>,
+    memory: MemoryBudget,
+    pending: RefCell<Pending>,
     /// Wakes [`Self::run`] when bytes are buffered or the connection has to close.
     wake: Notify,
     closed: Cell<bool>,
@@ -42,12 +72,15 @@
     /// # Errors
     ///
     /// Returns an error if a socket option cannot be set.
-    pub fn new(stream: TcpStream, key: FrameKey) -> io::Result<Self> {
+    pub fn new(stream: TcpStream, key: FrameKey, memory: &MemoryBudget) -> io::Result<Self> {
         stream.set_nodelay(true)?;
+        let reservation = memory.reservation();
+        let pending = Pending { bytes: BytesMut::new(), large: 0, reservation };
         Ok(Self {
             stream,
             key,
-            pending: RefCell::default(),
+            memory: memory.clone(),
+            pending: RefCell::new(pending),
             wake: Notify::new(),
             closed: Cell::new(false),
         })
@@ -61,14 +94,17 @@
         };
         let bytes = length_prefixed(&frame);
         let mut pending = self.pending.borrow_mut();
-        if pending.len() > MAX_PENDING_BYTES {
+        if pending.bytes.len() > MAX_PENDING_BYTES + pending.large {
             return self.close();
         }
+        if bytes.len() > LARGE_MESSAGE_BYTES {
+            pending.large += bytes.len();
+        }
         // A write error shows up at the next read.
         let written =
-            if pending.is_empty() { self.stream.try_write(&bytes).unwrap_or(0) } else { 0 };
+            if pending.bytes.is_empty() { self.stream.try_write(&bytes).unwrap_or(0) } else { 0 };
         if written < bytes.len() {
-            pending.extend_from_slice(&bytes[written..]);
+            pending.extend(&bytes[written..]);
             self.wake.notify_one();
         }
     }
@@ -83,14 +119,18 @@
     /// `handle`.
     pub async fn run<T: DeserializeOwned>(&self, mut handle: impl FnMut(Vec<T>)) -> io::Error {
         let mut buf = BytesMut::with_capacity(READ_BYTES);
+        let mut reservation = self.memory.reservation();
+        // Size of an incomplete message for which there is no room yet.
+        let mut lacking = None;
         loop {
             if self.closed.get() {
                 return io::ErrorKind::NotConnected.into();
             }
-            let waiting = !self.pending.borrow().is_empty();
+            let waiting = !self.pending.borrow().bytes.is_empty();
             tokio::select! {
-                readable = self.stream.readable() => {
-                    if let Err(e) = readable.and_then(|()| self.read(&mut buf)) {
+                () = reservation.extend(lacking.unwrap_or(0)), if lacking.is_some() => lacking = None,
+                readable = self.stream.readable(), if lacking.is_none() => {
+                    if let Err(e) = readable.and_then(|()| self.read(&mut buf, &mut reservation)) {
                         return e;
                     }
                     match self.decode(&mut buf) {
@@ -98,6 +138,18 @@
                         Ok(batch) => handle(batch),
                         Err(e) => return e,
                     }
+                    let size = buffered_size(&buf);
+                    reservation.shrink(size);
+                    if buf.is_empty() && buf.capacity() > LARGE_MESSAGE_BYTES {
+                        buf = BytesMut::with_capacity(READ_BYTES);
+                    }
+                    if size > LARGE_MESSAGE_BYTES && !reservation.try_extend(size) {
+                        lacking = Some(size).filter(|size| *size <= reservation.largest());
+                        if lacking.is_none() {
+                            // Other messages must not wait for room that there never is.
+                            reservation.set(size);
+                        }
+                    }
                 }
                 writable = self.stream.writable(), if waiting => {
                     if let Err(e) = writable.and_then(|()| self.flush()) {
@@ -109,10 +161,14 @@
         }
     }
 
-    /// Reads all bytes that have arrived, up to [`MAX_BATCH_BYTES`]. A read that leaves room in the
-    /// buffer was the last one.
-    fn read(&self, buf: &mut BytesMut) -> io::Result<()> {
+    /// Reads all bytes that have arrived, up to [`MAX_BATCH_BYTES`] and as far as there is room. A read that
+    /// leaves room in the buffer was the last one.
+    fn read(&self, buf: &mut BytesMut, reservation: &mut Reservation) -> io::Result<()> {
         while buf.len() < MAX_BATCH_BYTES {
+            let size = buffered_size(buf);
+            if size > LARGE_MESSAGE_BYTES && !reservation.try_extend(size) {
+                return Ok(());
+            }
             buf.reserve(READ_BYTES);
             let room = buf.capacity() - buf.len();
             match self.stream.try_read_buf(buf) {
@@ -128,7 +184,7 @@
 
     fn flush(&self) -> io::Result<()> {
         let mut pending = self.pending.borrow_mut();
-        match self.stream.try_write(&pending) {
+        match self.stream.try_write(&pending.bytes) {
             Ok(written) => pending.advance(written),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
@@ -153,3 +209,13 @@
         Ok(batch)
     }
 }
+
+/// Returns the size of a buffer that holds the messages in `buf` once the last one is complete.
+fn buffered_size(buf: &[u8]) -> usize {
+    let mut size = 0;
+    while let Some(length) = buf.get(size..).and_then(<[u8]>::first_chunk::<4>) {
+        // A longer message is refused when it is decoded.
+        size += 4 + (u32::from_le_bytes(*length) as usize).min(MAX_MESSAGE_BYTES);
+    }
+    size.max(buf.len())
+}
--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -6,11 +6,13 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
+use hornbeam_route::{RECORD_BYTES, merge_records};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use tokio::net::TcpStream;
 
 use crate::chunks::{ChunkLine, chunk_line, trailer_section};
+use crate::memory::{MemoryBudget, Reservation, SMALL_BYTES, UNRESERVED_BYTES};
 use crate::response_head::{self, Framing, HeadScanner, ResponseHead, begins_response, invalid};
 
 /// Longest response body accepted from a server, in bytes.
@@ -19,7 +21,7 @@
 const MAX_INFORMATIONAL: u32 = 16;
 const CRLF: &[u8] = b"\r\n";
 /// Buffer capacity reserved for one read, in bytes: most shard responses fit into one read.
-const READ_BYTES: usize = 4 << 10;
+const READ_BYTES: usize = UNRESERVED_BYTES;
 
 /// A complete HTTP response of a backend server.
 #[derive(Debug)]
@@ -41,14 +43,25 @@
     /// # Errors
     ///
     /// Returns an error if head and body are not a valid response.
-    pub fn from_peer(head: Vec<u8>, body: Vec<u8>) -> io::Result<Self> {
+    pub fn from_peer(head: Vec<u8>, body: Vec<u8>, memory: &MemoryBudget) -> io::Result<Self> {
         let ResponseHead { status, framing, .. } = response_head::parse(&head, false)?;
         // A response to HEAD states the length of a body that it does not have.
         if matches!(framing, Framing::Length(length) if !body.is_empty() && length != body.len() as u64)
         {
             return Err(invalid("the body is not as long as the head states"));
         }
-        Ok(Self { status, head: head.into(), body: body.into(), reusable: false })
+        Ok(Self { status, head: head.into(), body: memory.hold(body), reusable: false })
+    }
+
+    /// Keeps the greatest records of the body, all that a merged response can take from it.
+    pub(crate) fn keep_greatest(&mut self, limit: usize, memory: &MemoryBudget) {
+        if self.body.len() <= UNRESERVED_BYTES.max(limit.saturating_mul(RECORD_BYTES)) {
+            return;
+        }
+        let records = merge_records([&self.body[..]], limit);
+        self.body = memory.hold(records);
+        // Head and body may have been read into one buffer.
+        self.head = Bytes::copy_from_slice(&self.head);
     }
 
     /// Returns the bytes of the status line and the header fields.
@@ -103,10 +116,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the connection fails or ends early, or if the bytes are not a valid HTTP
-/// response within the limits of this module (`InvalidData`).
-pub async fn read_response(stream: &TcpStream, to_head_request: bool) -> io::Result<RawResponse> {
-    let mut reader = Reader::new(stream);
+/// Returns an error if the connection fails or ends early, if the bytes are not a valid HTTP response
+/// within the limits of this module (`InvalidData`), or if there is no memory for them (`OutOfMemory`).
+pub async fn read_response(
+    stream: &TcpStream,
+    to_head_request: bool,
+    memory: &MemoryBudget,
+) -> io::Result<RawResponse> {
+    let mut reader = Reader::new(stream, memory);
     for _ in 0..=MAX_INFORMATIONAL {
         let ResponseHead { status, length, framing, is_persistent } =
             reader.read_head(to_head_request).await?;
@@ -121,6 +138,8 @@
         };
         let has_more = reader.has_more_bytes()?;
         let reusable = !has_more && is_persistent && framing != Framing::UntilClose;
+        reader.reservation.shrink(body.len());
+        let body = reader.reservation.hold(body);
         return Ok(RawResponse { status, head, body, reusable });
     }
     Err(invalid("more than 16 informational responses precede the final one"))
@@ -132,11 +151,23 @@
     buf: BytesMut,
     /// True if the last read took all bytes that had arrived.
     drained: bool,
+    /// Capacity for the chunks that have been taken out of the buffer.
+    chunks: usize,
+    /// True once there is memory for the whole body, whatever its length.
+    reserved_whole: bool,
+    reservation: Reservation,
 }
 
 impl<'a> Reader<'a> {
-    fn new(stream: &'a TcpStream) -> Self {
-        Self { stream, buf: BytesMut::with_capacity(READ_BYTES), drained: false }
+    fn new(stream: &'a TcpStream, memory: &MemoryBudget) -> Self {
+        Self {
+            stream,
+            buf: BytesMut::with_capacity(READ_BYTES),
+            drained: false,
+            chunks: 0,
+            reserved_whole: false,
+            reservation: memory.reservation(),
+        }
     }
 
     async fn read_head(&mut self, to_head_request: bool) -> io::Result<ResponseHead> {
@@ -150,7 +181,11 @@
     }
 
     async fn read_fixed_length(&mut self, length: u64) -> io::Result<Bytes> {
-        let length = body_length(0, length)?;
+        let length = self.body_length(0, length)?;
+        // The bytes wait in the connection meanwhile.
+        self.reservation.extend(length).await;
+        self.reserved_whole = true;
+        self.buf.reserve(length.saturating_sub(self.buf.len()));
         while self.buf.len() < length {
             self.read_some().await?;
         }
@@ -161,7 +196,7 @@
         loop {
             match self.read_some().await {
                 Ok(()) => {
-                    body_length(self.buf.len(), 0)?;
+                    self.body_length(self.buf.len(), 0)?;
                 }
                 // Only an orderly close (FIN) completes a body that is delimited by the close.
                 Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => {
@@ -183,7 +218,7 @@
                 let _ = self.buf.split_to(length);
                 return Ok(body.freeze());
             }
-            let size = body_length(body.len(), size)? - body.len();
+            let size = self.body_length(body.len(), size)? - body.len();
             while self.buf.len() < size + CRLF.len() {
                 self.read_some().await?;
             }
@@ -191,6 +226,7 @@
                 return Err(invalid("a chunk does not end with CRLF"));
             }
             body.extend_from_slice(&self.buf[..size]);
+            self.chunks = body.capacity();
             let _ = self.buf.split_to(size + CRLF.len());
         }
     }
@@ -209,6 +245,7 @@
     }
 
     async fn read_some(&mut self) -> io::Result<()> {
+        self.reserve().await?;
         loop {
             self.stream.readable().await?;
             match self.try_read() {
@@ -220,6 +257,26 @@
         }
     }
 
+    /// Reserves memory for one more read. A body of unknown length that is no longer small waits for room for the
+    /// longest one: if such bodies waited for parts of it, each might wait for all others.
+    async fn reserve(&mut self) -> io::Result<()> {
+        if self.reserved_whole {
+            return Ok(());
+        }
+        let has_room = self.buf.capacity() - self.buf.len() >= READ_BYTES;
+        // A buffer without room doubles.
+        let capacity = self.buf.capacity().max(READ_BYTES) * if has_room { 1 } else { 2 };
+        let size = self.chunks + capacity;
+        if size > SMALL_BYTES {
+            let longest = MAX_BODY_BYTES.min(self.reservation.largest());
+            self.reservation.extend(longest).await;
+            self.reserved_whole = true;
+        } else if !self.reservation.try_extend(size) {
+            return Err(no_room());
+        }
+        Ok(())
+    }
+
     fn try_read(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ_BYTES);
         let room = self.buf.capacity() - self.buf.len();
@@ -228,6 +285,14 @@
         Ok(read)
     }
 
+    /// Returns the length of a body with `more` bytes after the first `length` ones.
+    fn body_length(&self, length: usize, more: u64) -> io::Result<usize> {
+        let total = usize::try_from(more).ok().and_then(|more| length.checked_add(more));
+        let total = total.filter(|total| *total <= MAX_BODY_BYTES);
+        let total = total.ok_or_else(|| invalid("the response body is longer than 8 MiB"))?;
+        if total > self.reservation.largest() { Err(no_room()) } else { Ok(total) }
+    }
+
     /// Returns true if more bytes have arrived after a response. They belong to no request, so the connection
     /// is not reused.
     ///
@@ -249,10 +314,7 @@
     }
 }
 
-/// Returns the length of a body with `more` bytes after the first `length` ones.
-fn body_length(length: usize, more: u64) -> io::Result<usize> {
-    let total = usize::try_from(more).ok().and_then(|more| length.checked_add(more));
-    total
-        .filter(|total| *total <= MAX_BODY_BYTES)
-        .ok_or_else(|| invalid("the response body is longer than 8 MiB"))
+fn no_room() -> io::Error {
+    let problem = "too many large responses are being read or held";
+    io::Error::new(io::ErrorKind::OutOfMemory, problem)
 }
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -30,6 +30,7 @@
 use crate::feeds::{EntryReport, FeedEvent, FeedParams};
 use crate::front::{Stage, accept};
 use crate::group_exchange::{self, GroupExchange};
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::team_usage::send_team_usage;
 
@@ -49,6 +50,9 @@
 /// Maximum number of requests in flight per megabyte of memory; a request with its shard responses
 /// takes about 100 KB.
 const MAX_REQUESTS_PER_MB: usize = 4;
+/// Percentage of the memory that may hold what servers, callers and other entries send. Merging and
+/// encoding hold copies besides.
+const MESSAGE_MEMORY_PERCENT: usize = 40;
 /// Interval at which a draining entry checks whether all requests and connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval of the health reports about backend servers.
@@ -117,7 +121,9 @@
     let ready_path = dialect.ready_path.clone();
     let key = FrameKey::new(settings.key.as_bytes());
     let group_exchange = GroupExchange::new(settings.instance.clone(), key);
-    let core = Core::new(engine, clock, dialect, metrics, log.clone(), group_exchange);
+    let budget = (settings.memory_mb as usize) << 20;
+    let memory = MemoryBudget::new(budget / 100 * MESSAGE_MEMORY_PERCENT);
+    let core = Core::new(engine, clock, dialect, metrics, log.clone(), group_exchange, memory);
     let strict_window = settings.revocation.strict_window();
     let contact = ControllerContact { strict_window, ..ControllerContact::default() };
     core.step(Input::ControllerContact(contact));
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use hornbeam_entry::dialect::Dialect;
 use hornbeam_entry::front::{self, Stage};
 use hornbeam_entry::group_exchange::{self, GroupExchange};
+use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::metrics::Metrics;
 use hornbeam_model::{
     Fingerprint, Incarnation, Route, RoutedService, Routing, Scatter, ServiceId, TableVersion,
@@ -103,6 +104,11 @@
 
 /// An entry with this name that has no table and no servers yet.
 pub fn core_without_table(name: &str) -> Rc<Core> {
+    core_with_memory(name, MemoryBudget::default())
+}
+
+/// An entry like [`core_without_table`] with this memory for what others send.
+pub fn core_with_memory(name: &str, memory: MemoryBudget) -> Rc<Core> {
     let engine = Engine::new(EngineParams {
         name: name.parse().unwrap(),
         zone: "olomouc".parse().unwrap(),
@@ -126,6 +132,7 @@
         Metrics::default(),
         StructuredLog::start(name, LogRates::default()),
         group_exchange,
+        memory,
     )
 }
 
--- a/crates/hornbeam_entry/tests/cut_heads.rs
+++ b/crates/hornbeam_entry/tests/cut_heads.rs
@@ -7,6 +7,7 @@
 
 use common::{connect_entries, core, named_core, read_request, request, run_local};
 use hornbeam_entry::core::Reply;
+use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::response::read_response;
 use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
@@ -53,7 +54,7 @@
             let (mut server, _) = listener.accept().await.unwrap();
             server.write_all(&head.as_bytes()[..length]).await.unwrap();
             drop(server);
-            let read = read_response(&stream, false).await;
+            let read = read_response(&stream, false, &MemoryBudget::default()).await;
             assert!(read.is_err(), "{:?} is a response: {read:?}", &head[..length]);
         }
     }
--- a/crates/hornbeam_entry/tests/paused_entry.rs
+++ b/crates/hornbeam_entry/tests/paused_entry.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use common::run_local;
+use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::peer_connection::PeerConnection;
 use hornbeam_protocol::FrameKey;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,8 +26,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (accepted, opened) = tokio::join!(listener.accept(), TcpStream::connect(address));
-        let sender = PeerConnection::new(opened.unwrap(), key()).unwrap();
-        let receiver = PeerConnection::new(accepted.unwrap().0, key()).unwrap();
+        let sender = PeerConnection::new(opened.unwrap(), key(), &MemoryBudget::default()).unwrap();
+        let receiver =
+            PeerConnection::new(accepted.unwrap().0, key(), &MemoryBudget::default()).unwrap();
         for n in 0..MESSAGES {
             sender.send(&vec![n as u8; MESSAGE_BYTES]);
         }
--- a/crates/hornbeam_entry/tests/responses.rs
+++ b/crates/hornbeam_entry/tests/responses.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::response::{RawResponse, read_response};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -34,8 +35,11 @@
         }
     });
     let stream = TcpStream::connect(address).await.unwrap();
-    let response =
-        tokio::time::timeout(Duration::from_secs(1), read_response(&stream, false)).await;
+    let response = tokio::time::timeout(
+        Duration::from_secs(1),
+        read_response(&stream, false, &MemoryBudget::default()),
+    )
+    .await;
     server.abort();
     response.expect("the read ends within a second")
 }
@@ -146,8 +150,11 @@
             tokio::time::sleep(Duration::from_secs(60)).await;
         });
         let stream = TcpStream::connect(address).await.unwrap();
-        let read =
-            tokio::time::timeout(Duration::from_secs(20), read_response(&stream, false)).await;
+        let read = tokio::time::timeout(
+            Duration::from_secs(20),
+            read_response(&stream, false, &MemoryBudget::default()),
+        )
+        .await;
         server.abort();
         assert!(read.expect("the read ends by itself").is_err());
     });
@@ -161,7 +168,11 @@
     let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (mut server, _) = listener.accept().await.unwrap();
     server.write_all(text.as_bytes()).await.unwrap();
-    let response = tokio::time::timeout(Duration::from_secs(1), read_response(&stream, true)).await;
+    let response = tokio::time::timeout(
+        Duration::from_secs(1),
+        read_response(&stream, true, &MemoryBudget::default()),
+    )
+    .await;
     let response = response.expect("no body is awaited").unwrap();
     assert!(response.body.is_empty() && response.reusable);
 }
--- a/crates/hornbeam_route/src/lib.rs
+++ b/crates/hornbeam_route/src/lib.rs
@@ -73,7 +73,7 @@
     GroupReport, GroupRequest, Input, Output, ServerChange, ServerHealthReport, TeamField,
     group_size,
 };
-pub use merge::merge_records;
+pub use merge::{RECORD_BYTES, merge_records};
 pub use notice::{LeavingServer, MAX_PAUSE, PauseRequest, RateNotice, ServerNotice};
 pub use peers::{Peer, Peers, ProbePath};
 pub use quota::{OverQuota, QuotaBounds, Quotas};
--- a/crates/hornbeam_route/src/merge.rs
+++ b/crates/hornbeam_route/src/merge.rs
@@ -9,8 +9,14 @@
 /// Returns the `limit` greatest records of all parts in descending byte order. Duplicates are kept;
 /// a trailing remainder shorter than a record is ignored. Memory is used for the records that there
 /// are, whatever the limit.
-pub fn merge_records<'a>(parts: impl IntoIterator<Item = &'a [u8]>, limit: usize) -> Vec<u8> {
-    let mut best: BinaryHeap<Reverse<[u8; RECORD_BYTES]>> = BinaryHeap::new();
+pub fn merge_records<'a>(
+    parts: impl IntoIterator<Item = &'a [u8], IntoIter: Clone>,
+    limit: usize,
+) -> Vec<u8> {
+    let parts = parts.into_iter();
+    let count: usize = parts.clone().map(|part| part.len() / RECORD_BYTES).sum();
+    let mut best: BinaryHeap<Reverse<[u8; RECORD_BYTES]>> =
+        BinaryHeap::with_capacity(count.min(limit));
     for part in parts {
         for record in part.as_chunks().0 {
             if best.len() < limit {
--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -268,6 +268,11 @@
         }
     }
 
+    /// Returns the id of the process, if it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().and_then(|child| child.id())
+    }
+
     /// Kills the process and waits until it has ended.
     pub async fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
