The instance program and hornbeamctl bound what they read

What callers saw: nothing yet. Replies of many servers took an instance beyond its memory, and a response without end that of the operator's machine; both took bodies in a content coding that they had not asked for. Cause: each reply had a bound, their sum none; hornbeamctl read whole bodies. Change: the memory budget moves to hornbeam_node; 128 MB of reply bodies are read at a time, large ones wait for all their memory. hornbeamctl reads 64 MiB at most, a forwarded request has a response of 16 MiB at most. Why it works: nothing is read without a bound on the sum of what is read.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -19,11 +19,11 @@
 use crate::backends::{Backends, Exchange};
 use crate::dialect::Dialect;
 use crate::group_exchange::GroupExchange;
-use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 pub use crate::request::{ForwardedRequest, ReceivedRequest};
 use crate::response::RawResponse;
 use crate::team_fields::SetAside;
+use hornbeam_node::memory::MemoryBudget;
 
 /// Longest sleep of the timer task.
 const MAX_TIMER_SLEEP: Duration = Duration::from_millis(500);
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -22,7 +22,6 @@
 //! - [`contact`]: since when a majority of the controllers has stated its table version
 //! - [`feeds`]: follows the feeds of all controllers on the control thread
 //! - `zone_orders`: orders about zones, and servers that are not used before they are known
-//! - [`memory`]: memory for what others send
 //! - [`metrics`]: Prometheus metrics
 //! - [`server_statements`]: parses what servers state about load and warm-up
 //! - `zone_traffic`: counts what is exchanged with the servers of each zone
@@ -42,7 +41,6 @@
 pub mod group_exchange;
 pub mod groups;
 mod integrity;
-pub mod memory;
 pub mod metrics;
 pub mod peer_connection;
 pub mod request;
--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::memory::{MemoryBudget, Reservation};
+use hornbeam_node::memory::{MemoryBudget, Reservation};
 
 /// Longest message that is accepted or sent, in bytes: the longest response body with its head.
 const MAX_MESSAGE_BYTES: usize = 9 << 20;
--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -12,8 +12,8 @@
 use tokio::net::TcpStream;
 
 use crate::chunks::{ChunkLine, chunk_line, trailer_section};
-use crate::memory::{MemoryBudget, Reservation, SMALL_BYTES, UNRESERVED_BYTES};
 use crate::response_head::{self, Framing, HeadScanner, ResponseHead, begins_response, invalid};
+use hornbeam_node::memory::{MemoryBudget, Reservation, SMALL_BYTES, UNRESERVED_BYTES};
 
 /// Longest response body accepted from a server, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -30,9 +30,9 @@
 use crate::feeds::{EntryReport, FeedEvent, FeedParams};
 use crate::front::{Stage, accept};
 use crate::group_exchange::{self, GroupExchange};
-use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::team_usage::send_team_usage;
+use hornbeam_node::memory::MemoryBudget;
 
 /// Time for which an attempt that is no longer needed may finish so that its connection can be
 /// reused: work that finishes sooner than a new connection opens is worth keeping, but work for a
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -12,13 +12,13 @@
 use hornbeam_entry::dialect::Dialect;
 use hornbeam_entry::front::{self, Stage};
 use hornbeam_entry::group_exchange::{self, GroupExchange};
-use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::metrics::Metrics;
 use hornbeam_model::{
     Fingerprint, Incarnation, Route, RoutedService, Routing, Scatter, ServiceId, TableVersion,
     Target,
 };
 use hornbeam_node::clock::Clock;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
 use hornbeam_route::{
--- a/crates/hornbeam_entry/tests/cut_heads.rs
+++ b/crates/hornbeam_entry/tests/cut_heads.rs
@@ -7,8 +7,8 @@
 
 use common::{connect_entries, core, named_core, read_request, request, run_local};
 use hornbeam_entry::core::Reply;
-use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::response::read_response;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/hornbeam_entry/tests/memory_budget.rs
+++ b/crates/hornbeam_entry/tests/memory_budget.rs
@@ -11,8 +11,8 @@
     connect, connect_entries, core_with_memory, read_request, request, run_local, servers, table,
 };
 use hornbeam_entry::core::{Core, Reply};
-use hornbeam_entry::memory::{MemoryBudget, SMALL_BYTES, UNRESERVED_BYTES};
 use hornbeam_model::Routing;
+use hornbeam_node::memory::{MemoryBudget, SMALL_BYTES, UNRESERVED_BYTES};
 use hornbeam_route::Input;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/crates/hornbeam_entry/tests/paused_entry.rs
+++ b/crates/hornbeam_entry/tests/paused_entry.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use common::run_local;
-use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::peer_connection::PeerConnection;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_protocol::FrameKey;
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/hornbeam_entry/tests/responses.rs
+++ b/crates/hornbeam_entry/tests/responses.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use hornbeam_entry::memory::MemoryBudget;
 use hornbeam_entry::response::{RawResponse, read_response};
+use hornbeam_node::memory::MemoryBudget;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/hornbeam_node/src/backends.rs
+++ b/crates/hornbeam_node/src/backends.rs
@@ -10,20 +10,25 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use hornbeam_model::search::DRAINING_HEADER;
 use hornbeam_model::{
     AttemptId, CancelRequest, Mono, NotRunReply, SearchReply, SearchRequest, ServerId,
 };
 use hornbeam_query::{Attempt, AttemptOutcome};
+use reqwest::header::CONTENT_ENCODING;
 use reqwest::{Client, Response, StatusCode};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
+use crate::memory::{MemoryBudget, SMALL_BYTES};
 use crate::socket::SERVERS;
 
 /// Maximum size of a reply body, in bytes.
 const MAX_REPLY_BYTES: usize = 16 << 20;
+/// Memory for the reply bodies that are being read, in bytes.
+const REPLY_MEMORY_BYTES: usize = 128 << 20;
 /// Time after an attempt's deadline until the wait for its reply ends and its connection closes.
 const REPLY_GRACE: Duration = Duration::from_millis(1_000);
 /// Limit for establishing a connection.
@@ -61,6 +66,7 @@
     /// Prefix of attempt ids on the wire, unique to this start of this instance.
     prefix: SmolStr,
     servers: Arc<Mutex<HashMap<ServerId, Backend>>>,
+    memory: MemoryBudget,
     results: mpsc::UnboundedSender<AttemptResult>,
 }
 
@@ -107,7 +113,8 @@
         prefix: SmolStr,
         results: mpsc::UnboundedSender<AttemptResult>,
     ) -> Self {
-        Self { clock, prefix, servers: Arc::default(), results }
+        let memory = MemoryBudget::new(REPLY_MEMORY_BYTES);
+        Self { clock, prefix, servers: Arc::default(), memory, results }
     }
 
     /// Returns the id of an attempt as sent to backend servers.
@@ -179,7 +186,11 @@
         match call.await {
             Ok(response) => {
                 let draining = is_draining(&response);
-                (read_outcome(response, &wire_id).await, draining)
+                let remaining = attempt.deadline.since(self.clock.now());
+                let outcome = read_outcome(response, &wire_id, &self.memory);
+                // A reply may wait for memory.
+                let outcome = tokio::time::timeout(remaining + REPLY_GRACE, outcome).await;
+                (outcome.unwrap_or(AttemptOutcome::Unknown), draining)
             }
             Err(e) if e.is_connect() || e.is_builder() => (AttemptOutcome::NotSent, false),
             Err(_) => {
@@ -227,9 +238,13 @@
     response.headers().get(DRAINING_HEADER).is_some_and(|v| v.as_bytes() == b"true")
 }
 
-async fn read_outcome(response: Response, wire_id: &SmolStr) -> AttemptOutcome {
+async fn read_outcome(
+    response: Response,
+    wire_id: &SmolStr,
+    memory: &MemoryBudget,
+) -> AttemptOutcome {
     let status = response.status();
-    let Some(body) = read_body(response).await else { return AttemptOutcome::Unknown };
+    let Some(body) = read_body(response, memory).await else { return AttemptOutcome::Unknown };
     match status {
         StatusCode::OK => match serde_json::from_slice::<SearchReply>(&body) {
             Ok(reply) if reply.attempt == *wire_id => AttemptOutcome::Replied(reply),
@@ -248,13 +263,29 @@
     }
 }
 
-async fn read_body(mut response: Response) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
+/// Reads a reply body. A large one waits for the memory for all of it, or for the longest one if its length is
+/// not stated. Returns `None` if it is too long, incomplete or in a content coding, which was not asked for.
+async fn read_body(mut response: Response, memory: &MemoryBudget) -> Option<Bytes> {
+    if response.headers().contains_key(CONTENT_ENCODING) {
+        return None;
+    }
+    let stated = response.content_length().unwrap_or(0);
+    if stated > MAX_REPLY_BYTES as u64 {
+        return None;
+    }
+    let mut reservation = memory.reservation();
+    reservation.extend(stated as usize).await;
+    let mut body = Vec::with_capacity(stated as usize);
     while let Some(chunk) = response.chunk().await.ok()? {
-        if body.len() + chunk.len() > MAX_REPLY_BYTES {
+        let length = body.len() + chunk.len();
+        if length > MAX_REPLY_BYTES {
             return None;
         }
+        if length > SMALL_BYTES && length as u64 > stated {
+            reservation.extend(MAX_REPLY_BYTES).await;
+            body.reserve_exact(MAX_REPLY_BYTES - body.len());
+        }
         body.extend_from_slice(&chunk);
     }
-    Some(body)
+    Some(reservation.hold(Bytes::from_owner(body)))
 }
--- a/crates/hornbeam_node/src/http/forward.rs
+++ b/crates/hornbeam_node/src/http/forward.rs
@@ -10,6 +10,8 @@
 
 /// Header of a forwarded request. Its value is the name of the instance that forwarded it.
 const FORWARDED_BY_HEADER: &str = "hornbeam-forwarded-by";
+/// Longest response body of another instance, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Parameters of [`forward`].
 pub struct ForwardParams<'a> {
@@ -32,7 +34,7 @@
     ConnectFailed,
     /// No response arrived, although the request may have been received.
     NoResponse,
-    /// The connection failed while the response body was being received.
+    /// The connection failed while the response body was being received, or the body is too long.
     ResponseInterrupted,
 }
 
@@ -68,6 +70,18 @@
         false => ForwardError::NoResponse,
     })?;
     let status = response.status().as_u16();
-    let body = response.bytes().await.map_err(|_| ForwardError::ResponseInterrupted)?.to_vec();
+    let body = read_response(response).await.ok_or(ForwardError::ResponseInterrupted)?;
     Ok(Reply { status, body, retry_after: None, not_run: false })
 }
+
+/// Reads the body of another instance's response; `None` if it is incomplete or too long.
+async fn read_response(mut response: reqwest::Response) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Some(body)
+}
--- a/crates/hornbeam_node/src/lib.rs
+++ b/crates/hornbeam_node/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`frames`]: length-prefixed frames on a byte stream
 //! - [`http`]: HTTP routes and handlers
 //! - [`logging`]: setup of the process log
+//! - [`memory`]: memory for what others send
 //! - [`pages`]: HTTP endpoints for the platform, such as readiness and metrics
 //! - [`program`]: startup and monitoring code shared by entries and controllers
 //! - [`structured`]: structured log lines on standard output
@@ -27,6 +28,7 @@
 pub mod http;
 pub mod journal;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod pages;
--- a/crates/hornbeam_entry/src/memory.rs
+++ b/crates/hornbeam_node/src/memory.rs
@@ -1,4 +1,4 @@
-//! Memory for what others send to an entry: responses of servers, messages of other entries, request bodies.
+//! Memory for what others send to a program: responses of servers, messages of other entries, request bodies.
 //!
 //! Failure pattern: many servers send bodies just under the longest one at the same time. Each is within its own
 //! bound, but not their sum. Bytes beyond the first few of each message are reserved before they are read, from
--- a/crates/hornbeamctl/src/change.rs
+++ b/crates/hornbeamctl/src/change.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::client::{Client, CommandError, check_all_reached};
+use crate::client::{Client, CommandError, check_all_reached, read_text};
 
 /// Longest time for which a change is resubmitted while its outcome is unknown.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -71,7 +71,7 @@
         match client.send(Method::POST, *instance, path, Some(&body)).await {
             Ok(reply) => {
                 let status = reply.status();
-                let text = reply.text().await.unwrap_or_default();
+                let text = read_text(reply).await.unwrap_or_default();
                 match outcome(status, &text) {
                     Outcome::Accepted(revision) => return Ok(revision),
                     Outcome::Refused => {
@@ -144,6 +144,6 @@
 
 async fn revision_of(client: &Client, instance: SocketAddr) -> Option<Revision> {
     let reply = client.send(Method::GET, instance, "/v1/config", None::<&()>).await.ok()?;
-    let body: Value = reply.json().await.ok()?;
+    let body: Value = serde_json::from_str(&read_text(reply).await?).ok()?;
     body["revision"].as_u64().map(Revision)
 }
--- a/crates/hornbeamctl/src/client.rs
+++ b/crates/hornbeamctl/src/client.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use reqwest::header::CONTENT_ENCODING;
 use reqwest::{Method, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -61,6 +62,25 @@
     }
 }
 
+/// Longest response body, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Reads the body of a response as text; `None` if it is too long, incomplete, no text or in a content coding,
+/// which was not asked for.
+pub async fn read_text(mut reply: Response) -> Option<String> {
+    if reply.headers().contains_key(CONTENT_ENCODING) {
+        return None;
+    }
+    let mut body = Vec::new();
+    while let Some(chunk) = reply.chunk().await.ok()? {
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    String::from_utf8(body).ok()
+}
+
 /// Client for the instances named on the command line.
 pub struct Client {
     instances: Vec<SocketAddr>,
@@ -128,7 +148,7 @@
                 continue;
             };
             let status = reply.status();
-            let Ok(text) = reply.text().await else {
+            let Some(text) = read_text(reply).await else {
                 unreached.push(*instance);
                 continue;
             };
@@ -149,7 +169,7 @@
                 continue;
             };
             let status = reply.status();
-            let text = reply.text().await.unwrap_or_default();
+            let text = read_text(reply).await.unwrap_or_default();
             // Instances that do not vote keep no history and return 404; voters have it.
             if status == StatusCode::NOT_FOUND {
                 continue;
--- a/crates/hornbeamctl/src/control.rs
+++ b/crates/hornbeamctl/src/control.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use crate::args::{ControlCommand, ControlReplaceArgs};
-use crate::client::{Client, CommandError};
+use crate::client::{Client, CommandError, read_text};
 
 /// Longest wait until the incoming instance is a voter.
 const REPLACE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -37,7 +37,7 @@
             continue;
         };
         let status = reply.status();
-        let text = reply.text().await.unwrap_or_default();
+        let text = read_text(reply).await.unwrap_or_default();
         if status == StatusCode::ACCEPTED {
             outln!("replacement of {} by {} begun", args.outgoing, args.incoming);
             return wait_until_done(client, &args.incoming).await;
