Numbers in header fields are digits, and limits of zero serve

What callers saw: a time limit with a fraction, or one above 2^64, got a final 400; a table with time limits of zero closed each connection before its first request. Servers' numbers were read with signs, exponents and words such as inf. Cause: header values were parsed by parsers for text, and a connection's time was the sum of both limits as they stood. Evidence: entry/caller_limits limits_of_zero and long_deadlines fail before the change. Change: one parser for whole and decimal numbers, which saturates. A caller has at least a second to be silent. Why it works: the same grammar holds for Deadline, Retry-After, Keep-Alive, rates, loads and warm-ups.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -23,6 +23,7 @@
 use crate::core::{Core, ForwardedRequest};
 use crate::dialect::Dialect;
 use crate::integrity::{is_intact, is_response_to};
+use crate::numbers::{decimal, whole};
 use crate::response::{RawResponse, read_response};
 use crate::server_statements::{parse_load, parse_warm_up};
 
@@ -349,21 +350,14 @@
 
 /// Parses the rate that a server states: requests per second, possibly with a fraction.
 fn parse_rate(value: &[u8]) -> RateNotice {
-    let per_second = std::str::from_utf8(value).ok().and_then(|v| v.trim().parse().ok());
-    let rate = per_second.and_then(RequestRate::from_per_second);
+    let rate = decimal(value).and_then(RequestRate::from_per_second);
     rate.map_or(RateNotice::Unreadable, RateNotice::Stated)
 }
 
 /// Parses the value of a server's `Retry-After`: seconds, possibly with a fraction.
 fn parse_pause(value: &[u8]) -> PauseRequest {
-    let seconds = std::str::from_utf8(value).ok().and_then(|v| v.trim().parse::<f64>().ok());
-    match seconds {
-        Some(seconds) if seconds.is_finite() && seconds >= 0.0 => {
-            let time = Duration::try_from_secs_f64(seconds);
-            PauseRequest::For(time.unwrap_or(Duration::MAX))
-        }
-        _ => PauseRequest::Unreadable,
-    }
+    let Some(seconds) = decimal(value) else { return PauseRequest::Unreadable };
+    PauseRequest::For(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
 fn classify(
@@ -407,7 +401,7 @@
         response.header_by_name("keep-alive").and_then(|v| std::str::from_utf8(v).ok());
     let timeout =
         keep_alive.and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")));
-    let stated = timeout.and_then(|t| t.trim().parse().ok()).map(Duration::from_secs);
+    let stated = timeout.and_then(|t| whole(t.as_bytes())).map(Duration::from_secs);
     let usable = stated.map_or(DEFAULT_IDLE_TIMEOUT, |s| s.saturating_sub(IDLE_MARGIN));
     Some(usable.min(MAX_IDLE_TIMEOUT))
 }
--- a/crates/hornbeam_entry/src/caller_stream.rs
+++ b/crates/hornbeam_entry/src/caller_stream.rs
@@ -19,6 +19,8 @@
 pub const MAX_HEAD_BYTES: usize = 1 << 20;
 /// Limits on request heads below this size count as this size, in bytes.
 const MIN_HEAD_LIMIT_BYTES: usize = 8 << 10;
+/// Time for which a caller may be silent before a head is complete, whatever the table allows.
+const MIN_HEAD_TIME: Duration = Duration::from_secs(1);
 /// Most bytes taken by one read, which keeps the read buffer of a connection small.
 const READ_BYTES: usize = 16 << 10;
 /// Longest time for which a caller may go on sending after its head was refused, so that closing the
@@ -75,7 +77,8 @@
         let limits = self.limits.get().unwrap_or_default();
         let time = |ms| Duration::from_millis(u64::from(ms));
         let since = self.waiting_since.get().unwrap_or_else(Instant::now);
-        since + time(limits.idle_timeout_ms) + time(limits.header_timeout_ms)
+        let stated = time(limits.idle_timeout_ms) + time(limits.header_timeout_ms);
+        since + stated.max(MIN_HEAD_TIME)
     }
 
     /// Returns how many more bytes may be read; zero if the head is longer than the limit.
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -27,6 +27,7 @@
 use crate::backends::{end_to_end, request_head};
 use crate::caller_stream::{CallerStream, MAX_HEAD_BYTES, RequestHead};
 use crate::core::{Core, ForwardedRequest, ReceivedRequest, Reply};
+use crate::numbers::decimal;
 use crate::team_fields;
 
 /// Maximum number of open caller connections.
@@ -221,10 +222,11 @@
     let id = SmolStr::new(id);
     let patience = match text(&core.dialect.deadline_ms) {
         None => None,
-        Some(ms) => match ms.trim().parse() {
-            Ok(ms) => Some(Duration::from_millis(ms)),
-            Err(_) => {
-                let problem = "the deadline header is not a number: send whole milliseconds";
+        Some(ms) => match decimal(ms.as_bytes()) {
+            // The routing table bounds the time as well.
+            Some(ms) => Some(Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)),
+            None => {
+                let problem = "the deadline header is not a number: send milliseconds";
                 return Err(text_response(StatusCode::BAD_REQUEST, problem));
             }
         },
--- a/crates/hornbeam_entry/src/lib.rs
+++ b/crates/hornbeam_entry/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`metrics`]: Prometheus metrics
 //! - [`server_statements`]: parses what servers state about load and warm-up
 //! - `zone_traffic`: counts what is exchanged with the servers of each zone
+//! - `numbers`: numbers in header fields
 //! - [`mod@run`]: starts, runs and drains an entry
 
 pub mod backends;
@@ -42,6 +43,7 @@
 pub mod groups;
 mod integrity;
 pub mod metrics;
+mod numbers;
 pub mod peer_connection;
 pub mod request;
 pub mod response;
--- a/crates/hornbeam_entry/src/server_statements.rs
+++ b/crates/hornbeam_entry/src/server_statements.rs
@@ -7,6 +7,8 @@
 
 use hornbeam_route::{LoadNotice, StatedLoad};
 
+use crate::numbers::whole;
+
 /// Highest number of requests or slots that a statement can contain; more is an error of the server.
 const MAX_REQUESTS: u32 = 1_000_000;
 /// Highest slowness that a statement can contain, in percent.
@@ -20,12 +22,13 @@
 }
 
 fn read_load(value: &[u8]) -> Option<StatedLoad> {
-    let mut numbers = std::str::from_utf8(value).ok()?.split(',').map(|n| n.trim().parse::<u32>());
-    let mut next = || numbers.next()?.ok().filter(|n| *n <= MAX_REQUESTS);
+    let number = |n: &[u8]| whole(n).and_then(|n| u32::try_from(n).ok());
+    let mut numbers = value.split(|b| *b == b',').map(number);
+    let mut next = || numbers.next()?.filter(|n| *n <= MAX_REQUESTS);
     let (running, waiting) = (next()?, next()?);
     let slots = next().filter(|slots| *slots > 0)?;
     let slowness_percent = match numbers.next() {
-        Some(slowness) => slowness.ok().filter(|p| (1..=MAX_SLOWNESS_PERCENT).contains(p))?,
+        Some(slowness) => slowness.filter(|p| (1..=MAX_SLOWNESS_PERCENT).contains(p))?,
         None => USUAL_SLOWNESS_PERCENT,
     };
     Some(StatedLoad { running, waiting, slots, slowness_percent })
@@ -33,6 +36,5 @@
 
 /// Parses the remaining warm-up that a server states; one that cannot be read states nothing.
 pub fn parse_warm_up(value: &[u8]) -> Option<Duration> {
-    let ms = std::str::from_utf8(value).ok()?.trim().parse().ok()?;
-    Some(Duration::from_millis(ms))
+    whole(value).map(Duration::from_millis)
 }
--- a/crates/hornbeam_entry/tests/caller_limits.rs
+++ b/crates/hornbeam_entry/tests/caller_limits.rs
@@ -197,3 +197,51 @@
         assert_eq!(read_status(&mut stream).await, 503, "the first table may allow it");
     });
 }
+
+/// Guards against an entry that closes each connection, or refuses each request, for limits of zero.
+#[test]
+fn limits_of_zero() {
+    run_local(async {
+        let core = serving_core().await;
+        let zero = CallerLimits {
+            max_header_bytes: 0,
+            max_body_bytes: 0,
+            header_timeout_ms: 0,
+            idle_timeout_ms: 0,
+        };
+        put_in_force(&core, 1, zero);
+        let mut stream = connect(&core).await;
+        for id in ["r1", "r2"] {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            assert_eq!(send(&mut stream, id, 100).await, 200);
+        }
+    });
+}
+
+/// Guards against requests that are refused for a time limit that is larger than a number of this program.
+#[test]
+fn long_deadlines() {
+    run_local(async {
+        let core = serving_core().await;
+        put_in_force(&core, 1, CallerLimits::default());
+        for (ms, status) in [
+            ("800", 200),
+            ("800.5", 200),
+            ("99999999999999999999999", 200),
+            ("18446744073709551615", 200),
+            ("-800", 400),
+            ("+800", 400),
+            ("8e2", 400),
+            ("", 400),
+            ("inf", 400),
+        ] {
+            let mut stream = connect(&core).await;
+            let request = format!(
+                "GET /lookup/1 HTTP/1.1\r\nhost: plots.example\r\nhornbeam-request-id: r{ms}\r\n\
+                 hornbeam-deadline-ms: {ms}\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await.unwrap();
+            assert_eq!(read_status(&mut stream).await, status, "{ms}");
+        }
+    });
+}
