Founders remember that they start the log

Cause: only the settings of the first start made a controller an initial voter; nothing on its disk did. Evidence: hornbeamrun/killed_founders before_the_log_exists fails before the change. Change: a founder writes the initial voters to its disk before it opens its log, and takes them from there at later starts.

--- a/crates/hornbeam_control/src/lib.rs
+++ b/crates/hornbeam_control/src/lib.rs
@@ -19,4 +19,4 @@
     Persist, Proposal, ProposalId, Raft, RaftInput, RaftOutput, RaftParams, RepairPolicy, Role,
 };
 pub use state::{ControlState, HistoryItem, ProposalOutcome};
-pub use voter::Voter;
+pub use voter::{Voter, initial_voters};
--- a/crates/hornbeam_control/src/voter.rs
+++ b/crates/hornbeam_control/src/voter.rs
@@ -1,7 +1,7 @@
 //! A Raft instance together with its disk, which is written before anything that depends on it.
 
 use hornbeam_events::Event;
-use hornbeam_model::{Config, Mono};
+use hornbeam_model::{Config, InstanceId, Mono};
 use hornbeam_protocol::control::DiskId;
 use hornbeam_storage::{Folder, StorageError, Store, document};
 use smol_str::SmolStr;
@@ -12,6 +12,9 @@
 /// File that holds the latest configuration of an instance.
 const CONFIG_FILE: &str = "config";
 
+/// File that holds the initial voters of the log that an instance was told to start.
+const FOUNDERS_FILE: &str = "founders";
+
 /// A [`Raft`] instance together with its disk.
 #[derive(Debug)]
 pub struct Voter {
@@ -95,6 +98,24 @@
     }
 }
 
+/// Returns the initial voters of the log that the instance with this folder starts: those that the settings name,
+/// or else those that they named when it was first told to start one. It may end before the log exists, and is
+/// told so only once.
+///
+/// # Errors
+///
+/// Fails if the folder cannot be written.
+pub fn initial_voters(folder: &Folder, named: Vec<InstanceId>) -> std::io::Result<Vec<InstanceId>> {
+    let saved: Option<Vec<InstanceId>> = document::read(folder, FOUNDERS_FILE).ok().flatten();
+    if named.is_empty() {
+        return Ok(saved.unwrap_or_default());
+    }
+    if saved.as_ref() != Some(&named) {
+        document::write(folder, FOUNDERS_FILE, &named)?;
+    }
+    Ok(named)
+}
+
 /// Saves a configuration in a folder.
 ///
 /// # Errors
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -5,7 +5,7 @@
 
 use hornbeam_control::{
     Proposal, ProposalId, ProposalOutcome, Raft, RaftInput, RaftOutput, RaftParams, RepairPolicy,
-    Role, Voter,
+    Role, Voter, initial_voters,
 };
 use hornbeam_model::{InstanceId, Mono, Routing, TableVersion};
 use hornbeam_protocol::Message;
@@ -53,10 +53,17 @@
         // Releases the lock of the folder, which a voter whose disk has failed still holds.
         self.voter = None;
         let seeds = self.settings.seed_names();
-        let is_initial_voter = self.settings.founding && seeds.contains(&self.me);
+        let is_founder = self.settings.founding && seeds.contains(&self.me);
+        let named = if is_founder { seeds } else { Vec::new() };
+        let folder = Folder::open(path).map_err(|e| e.to_string()).and_then(|folder| {
+            let voters = initial_voters(&folder, named).map_err(|e| e.to_string())?;
+            Ok((folder, voters))
+        });
+        let initial_voters = folder.as_ref().map(|(_, voters)| voters.clone()).unwrap_or_default();
+        let is_initial_voter = !initial_voters.is_empty();
         let params = RaftParams {
             me: self.me.clone(),
-            initial_voters: if is_initial_voter { seeds } else { Vec::new() },
+            initial_voters,
             nonce: rand::random(),
             seed: rand::random(),
             snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
@@ -67,7 +74,7 @@
             founding_wait: FOUNDING_WAIT,
         };
         let mut out = Vec::new();
-        let opened = Folder::open(path).map_err(|e| e.to_string()).and_then(|folder| {
+        let opened = folder.and_then(|(folder, _)| {
             let disk = DiskId(rand::random());
             Voter::open(now, folder, params, disk, &mut out).map_err(|e| e.to_string())
         });
