Soak: servers whose heads are spoilt or whose bodies do not end

Cause: the soak had no server like those of the users' reports. Change: two faults of the stand-in, drawn with a generator of their own, so that the other faults of a seed stay as they are. Runs with two builds leave out spoilt heads, which earlier builds pass on.

--- a/crates/hornbeam_soak/src/plan.rs
+++ b/crates/hornbeam_soak/src/plan.rs
@@ -146,6 +146,7 @@
         at += Duration::from_millis(rng.random_range(50..900));
     }
     plan.extend(draw_separate_faults(seed, sizes, length));
+    plan.extend(draw_spoilt_responses(seed, sizes, length));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
@@ -171,6 +172,24 @@
     plan
 }
 
+/// Draws servers whose responses are spoilt or do not end, with a generator of their own.
+fn draw_spoilt_responses(seed: u64, sizes: Sizes, length: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(300..2_000));
+    while at < length {
+        let which = rng.random_range(0..sizes.servers);
+        let time = Duration::from_millis(rng.random_range(300..2_000));
+        let fault = match rng.random_bool(0.7) {
+            true => RoutedFault::SpoiltHead,
+            false => RoutedFault::EndlessBody,
+        };
+        plan.push((at, Fault::Server { which, fault, time }));
+        at += Duration::from_millis(rng.random_range(500..3_000));
+    }
+    plan
+}
+
 fn draw_link_state(rng: &mut SmallRng) -> LinkState {
     let states =
         [LinkState::Slow, LinkState::CutInbound, LinkState::CutOutbound, LinkState::Blocked];
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -281,7 +281,13 @@
     let run = FleetRun::start(options, folder).await?;
     let (entries, controllers) = options.programs;
     let sizes = Sizes { entries, controllers, servers: run.servers.len() };
-    let plan = draw_faults(options.seed, sizes, options.length);
+    let mut plan = draw_faults(options.seed, sizes, options.length);
+    if options.binaries.len() > 1 {
+        // Earlier builds pass on responses whose heads are spoilt.
+        let is_spoilt =
+            |f: &Fault| matches!(f, Fault::Server { fault: RoutedFault::SpoiltHead, .. });
+        plan.retain(|(_, fault)| !is_spoilt(fault));
+    }
     let faults = plan.iter().map(|(at, f)| format!("{:6.2} s {f:?}", at.as_secs_f64())).collect();
     let callers = run.start_callers();
     let ledger = run.ledger.clone();
--- a/crates/hornbeam_standin/src/routed.rs
+++ b/crates/hornbeam_standin/src/routed.rs
@@ -91,6 +91,9 @@
 pub const STATED_RATE: f64 = 6.0;
 /// End of the path of requests that end each stand-in that runs them.
 pub const CRASH_PATH: &str = "/crash";
+/// Most bytes of a body without end.
+const MAX_ENDLESS_BYTES: usize = 64 << 20;
+static ENDLESS_PART: [u8; 16 << 10] = [b'7'; 16 << 10];
 /// Records in each response.
 const RECORDS_PER_RESPONSE: u8 = 6;
 
@@ -120,9 +123,13 @@
     RateLimit,
     /// Runs requests and fails with 503, without the statement that it did not run them.
     FalseRefusal,
+    /// Sends responses whose head is spoilt where it states the length, or holds a line that is no field.
+    SpoiltHead,
+    /// Sends a body without end until the connection closes.
+    EndlessBody,
 }
 
-/// Every fault except [`RoutedFault::None`], false refusals, which soaks draw apart, and the stated rate,
+/// Every fault except [`RoutedFault::None`], those that soaks draw apart, and the stated rate,
 /// whose check needs more time.
 pub const ROUTED_FAULTS: [RoutedFault; 8] = [
     RoutedFault::Unresponsive,
@@ -373,12 +380,27 @@
             true => "503 Service Unavailable",
             false => "200 OK",
         };
+        let length = match self.has_fault(RoutedFault::SpoiltHead) {
+            true => spoilt_length(id, body.len()),
+            false => format!("content-length: {}\r\n", body.len()),
+        };
         let head = format!(
             "HTTP/1.1 {status}\r\nhornbeam-request-id: {id}\r\nhornbeam-signature: {id}.{}\r\n\
-             {leaving}{rate}content-length: {}\r\n\r\n",
+             {leaving}{rate}",
             service,
-            body.len()
         );
+        if self.has_fault(RoutedFault::EndlessBody) {
+            let start = head + "\r\n";
+            let mut sent = stream.write_all(start.as_bytes()).await;
+            for _ in 0..MAX_ENDLESS_BYTES / ENDLESS_PART.len() {
+                if sent.is_err() {
+                    break;
+                }
+                sent = stream.write_all(&ENDLESS_PART).await;
+            }
+            return false;
+        }
+        let head = head + &length + "\r\n";
         let mut response = head.into_bytes();
         response.extend_from_slice(&body);
         if self.has_fault(RoutedFault::Truncate) {
@@ -401,6 +423,19 @@
     }
 }
 
+/// Returns lines that state the length of a body wrongly or not by the grammar; the request chooses which.
+fn spoilt_length(id: &str, length: usize) -> String {
+    let lines = [
+        format!("content-length: {}\r\n", length - 16),
+        format!("content-length: +{length}\r\n"),
+        format!("content-length: {length}\r\nno field\r\n"),
+        format!("content-length: {length}\r\ncontent-encoding: gzip\r\n"),
+        format!("content-length: 0{length}0\r\n"),
+    ];
+    let choice = id.bytes().map(usize::from).sum::<usize>() % lines.len();
+    lines[choice].clone()
+}
+
 /// Header values of a request that the stand-in uses.
 struct ReceivedRequest {
     id: String,
