Answers are read while a long body is written

Cause: the body was written to its end, without a time limit and from a copy for each attempt, before the response was read. Evidence: entry/early_answers keeps_open fails before the change. Change: both go on at the same time within the time of the attempt; the connection is not used again if part of the body is due; long bodies are not copied. Why it works: the response no longer depends on how much the server reads.

--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -11,13 +11,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use hornbeam_model::{RequestRate, ServerId};
 use hornbeam_node::socket;
 use hornbeam_route::{Attempt, AttemptOutcome, LoadNotice, PauseRequest, RateNotice, ServerNotice};
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap};
 use smol_str::SmolStr;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::core::{Core, ForwardedRequest};
@@ -212,7 +212,7 @@
                 stream
             }
         };
-        let Some(mut stream) = stream else {
+        let Some(stream) = stream else {
             return Exchange::without_response(AttemptOutcome::NotSent);
         };
         let remaining = attempt.remaining.saturating_sub(started_at.elapsed());
@@ -223,19 +223,15 @@
         if !core.with_engine(|e| e.may_send(core.clock.now(), attempt.id)) {
             return Exchange::without_response(AttemptOutcome::Withheld);
         }
-        let bytes = encode_request(&core.dialect, attempt, request, remaining);
-        match write_request(&mut stream, &bytes).await {
-            Ok(()) => {}
+        let outgoing = encode_request(&core.dialect, attempt, request, remaining);
+        let written = match stream.try_write(outgoing.after(0)) {
+            Ok(written) => written,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
             // Nothing was written because the idle connection had ended: uses a new one.
-            Err(WriteFailure::NothingWritten) if was_idle => continue,
-            Err(WriteFailure::NothingWritten) => {
-                return Exchange::without_response(AttemptOutcome::NotSent);
-            }
-            Err(WriteFailure::PossiblyWritten) => {
-                return Exchange::without_response(AttemptOutcome::Lost);
-            }
-        }
-        let response = read_response(&stream, request.is_head_request(), &core.memory);
+            Err(_) if was_idle => continue,
+            Err(_) => return Exchange::without_response(AttemptOutcome::NotSent),
+        };
+        let response = exchange_on(core, &stream, &outgoing, written, request.is_head_request());
         let response = tokio::time::timeout(remaining + READ_GRACE, response);
         return match response.await {
             Ok(Ok(response)) => handle_response(core, attempt, request, stream, response),
@@ -259,40 +255,76 @@
     !matches!(e.kind(), io::ErrorKind::InvalidData | io::ErrorKind::OutOfMemory)
 }
 
+/// Writes the rest of a request and reads the response. A server may respond before it has read a long body,
+/// and read no further.
+async fn exchange_on(
+    core: &Core,
+    stream: &TcpStream,
+    outgoing: &Outgoing,
+    written: usize,
+    to_head_request: bool,
+) -> io::Result<RawResponse> {
+    let read = read_response(stream, to_head_request, &core.memory);
+    if outgoing.after(written).is_empty() {
+        return read.await;
+    }
+    let mut read = std::pin::pin!(read);
+    tokio::select! {
+        biased;
+        response = &mut read => response.map(RawResponse::on_unfinished_request),
+        // After a failure, the response may have arrived before the server closed the connection.
+        _ = write_rest(stream, outgoing, written) => read.await,
+    }
+}
+
+async fn write_rest(stream: &TcpStream, outgoing: &Outgoing, mut written: usize) -> io::Result<()> {
+    loop {
+        let rest = outgoing.after(written);
+        if rest.is_empty() {
+            return Ok(());
+        }
+        stream.writable().await?;
+        match stream.try_write(rest) {
+            Ok(more) => written += more,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// A request as it is written to a server.
+struct Outgoing {
+    /// Head and, if it is short, the body.
+    start: Vec<u8>,
+    /// A long body, which all attempts share.
+    body: Bytes,
+}
+
+impl Outgoing {
+    /// Returns bytes to write after the first `written` ones; empty at the end.
+    fn after(&self, written: usize) -> &[u8] {
+        match self.start.get(written..) {
+            Some(rest) if !rest.is_empty() => rest,
+            _ => self.body.get(written - self.start.len()..).unwrap_or_default(),
+        }
+    }
+}
+
 fn encode_request(
     dialect: &Dialect,
     attempt: &Attempt,
     request: &ForwardedRequest,
     remaining: Duration,
-) -> Vec<u8> {
+) -> Outgoing {
     let remaining_ms = remaining.as_millis().max(1);
     let own_fields = format!(
         "{}: {remaining_ms}\r\n{}: {}\r\n\r\n",
         dialect.deadline_ms, dialect.expected_server, attempt.server
     );
-    let mut bytes = Vec::with_capacity(request.head.len() + own_fields.len() + request.body.len());
-    bytes.extend_from_slice(&request.head);
-    bytes.extend_from_slice(own_fields.as_bytes());
-    bytes.extend_from_slice(&request.body);
-    bytes
-}
-
-/// Whether part of a request may have been written before writing failed.
-enum WriteFailure {
-    NothingWritten,
-    PossiblyWritten,
-}
-
-async fn write_request(stream: &mut TcpStream, request: &[u8]) -> Result<(), WriteFailure> {
-    let written = match stream.try_write(request) {
-        Ok(written) => written,
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
-        Err(_) => return Err(WriteFailure::NothingWritten),
-    };
-    if written == request.len() {
-        return Ok(());
-    }
-    stream.write_all(&request[written..]).await.map_err(|_| WriteFailure::PossiblyWritten)
+    let is_short = request.body.len() <= MAX_REUSE_BODY_BYTES;
+    let short_body = if is_short { &request.body[..] } else { &[] };
+    let start = [&request.head, own_fields.as_bytes(), short_body].concat();
+    Outgoing { start, body: if is_short { Bytes::new() } else { request.body.clone() } }
 }
 
 /// Classifies a complete response and returns the connection to the pool if it can be reused.
--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -53,6 +53,13 @@
         Ok(Self { status, head: head.into(), body: memory.hold(body), reusable: false })
     }
 
+    /// Marks the response as one to a request that was not written to its end: what is due next on the connection
+    /// is the rest of that request.
+    pub(crate) fn on_unfinished_request(mut self) -> Self {
+        self.reusable = false;
+        self
+    }
+
     /// Keeps the greatest records of the body, all that a merged response can take from it.
     pub(crate) fn keep_greatest(&mut self, limit: usize, memory: &MemoryBudget) {
         if self.body.len() <= UNRESERVED_BYTES.max(limit.saturating_mul(RECORD_BYTES)) {
