--- a/crates/hornbeam_entry/src/backends.rs
+++ b/crates/hornbeam_entry/src/backends.rs
@@ -358,7 +358,9 @@
         let connection = IdleConnection { stream, expires_at, last_request };
         core.backends().put(&attempt.server, connection, attempt.share);
     }
-    if let Some(limit) = merge_limit {
+    if let Some(limit) = merge_limit
+        && outcome == AttemptOutcome::Answered
+    {
         response.keep_greatest(limit, &core.memory);
     }
     Exchange { outcome, notice, response: outcome.has_run().then_some(response) }
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -28,8 +28,6 @@
 use crate::peer_connection::PeerConnection;
 use crate::response::RawResponse;
 
-/// Longest merged records of a group that fit into a message with their signatures, in bytes.
-const MAX_RECORD_BYTES: usize = 8 << 20;
 /// Longest time to open a connection to another entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -203,13 +201,6 @@
         let mut gathered = self.gathered.borrow_mut();
         let Some(g) = gathered.get(&key) else { return };
         responses.group = g.group;
-        if responses.records.len() > MAX_RECORD_BYTES {
-            log::error!(
-                "the records of a group are too long for a message: its shards are missing"
-            );
-            responses.responses.clear();
-            responses.records.clear();
-        }
         let last = responses.last;
         g.origin.send(&GatherDown::Responses(responses));
         if last {
--- a/crates/hornbeam_entry/src/groups.rs
+++ b/crates/hornbeam_entry/src/groups.rs
@@ -16,6 +16,9 @@
 use crate::response::RawResponse;
 use crate::response_head::invalid;
 
+/// Longest merged records of a group that fit into a message with their signatures, in bytes.
+const MAX_RECORD_BYTES: usize = 8 << 20;
+
 impl Core {
     /// Stops gathering new groups for other entries and informs them.
     pub fn stop_accepting_groups(&self) {
@@ -150,10 +153,17 @@
     pub(crate) fn send_gathered(
         &self,
         key: QueryId,
-        (responses, records): (Vec<GatheredResponse>, Vec<u8>),
+        (mut responses, mut records): (Vec<GatheredResponse>, Vec<u8>),
         queue_waits: &[(usize, Duration)],
         (last, unsent): (bool, &[usize]),
     ) {
+        if records.len() > MAX_RECORD_BYTES {
+            log::error!(
+                "the records of a group are too long for a message: its shards are missing"
+            );
+            responses.clear();
+            records.clear();
+        }
         let waits =
             queue_waits.iter().map(|(shard, wait)| (*shard as u32, wait.as_millis() as u32));
         // The exchange sets the group's number on its connection.
