Relays leave a zone whose entries decline

Cause: an entry that declined was not taken into account for the next relay, so a request used up its six relays in its own zone. Change: what an entry has not gathered goes to another zone; zones of which an entry declines come last. Why it works: the second relay leaves the zone, and later requests leave it at once.

--- a/crates/hornbeam_route/src/engine/delegation.rs
+++ b/crates/hornbeam_route/src/engine/delegation.rs
@@ -297,13 +297,13 @@
         }
         out.push(Output::Log(Decision::GroupFailed {
             request: running.id.clone(),
-            peer: delegated.peer,
+            peer: delegated.peer.clone(),
             reason,
             after_ms: now.since(delegated.sent_at).as_millis() as u64,
             shards: delegated.shards.len(),
             sent_from_here: open.len(),
         }));
-        self.retry_shards(now, key, open, out);
+        self.retry_shards(now, key, open, &delegated.peer, out);
         self.complete_if_decided(now, key, out);
         self.arm_timer(key);
     }
--- a/crates/hornbeam_route/src/engine/relaying.rs
+++ b/crates/hornbeam_route/src/engine/relaying.rs
@@ -174,13 +174,15 @@
         self.delegate_group(now, key, &peer, shards, out);
     }
 
-    /// Sends shards of an ended group again: from here if this entry reaches their servers, and
-    /// through another entry otherwise.
+    /// Sends shards of a group again that `peer` has not gathered: from here if this entry reaches their
+    /// servers, and through another entry otherwise, of another zone if possible: what keeps `peer` from its
+    /// servers may hold for its whole zone.
     pub(super) fn retry_shards(
         &mut self,
         now: Mono,
         key: QueryId,
         shards: Vec<usize>,
+        peer: &InstanceId,
         out: &mut Vec<Output>,
     ) {
         let Some(running) = self.requests.get(&key) else { return };
@@ -188,7 +190,7 @@
             running.shards[*s].in_flight.is_empty() && self.should_relay(now, running, *s)
         };
         let (relayed, own): (Vec<usize>, Vec<usize>) = shards.into_iter().partition(needs_relay);
-        self.relay(now, key, &relayed, None, out);
+        self.relay(now, key, &relayed, Some(peer), out);
         for shard in own {
             self.retry_shard(now, key, shard, out);
         }
@@ -210,7 +212,7 @@
             running.shards[*shard].reclaim(true);
         }
         if !self.peers.is_usable(peer) {
-            self.retry_shards(now, key, shards, out);
+            self.retry_shards(now, key, shards, peer, out);
             return self.arm_timer(key);
         }
         let mut again = Vec::new();
--- a/crates/hornbeam_route/src/peers.rs
+++ b/crates/hornbeam_route/src/peers.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 
 use hornbeam_model::{InstanceId, Mono, Zone};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -155,8 +155,8 @@
 
     /// Chooses the entry that gathers what this entry cannot reach, and counts the group as delegated
     /// to it: the one with the fewest groups of this entry, if possible in this zone. `tried` could
-    /// not gather the group, so an entry of another zone than its own is more likely to. Only entries of
-    /// zones that `may_handle` allows are chosen.
+    /// not gather the group, so an entry of another zone than its own is more likely to; the same holds for
+    /// zones of which an entry declines. Only entries of zones that `may_handle` allows are chosen.
     pub fn choose_relay(
         &mut self,
         tried: Option<&InstanceId>,
@@ -166,13 +166,16 @@
         let usable = (0..self.peers.len()).filter(|i| self.peers[*i].is_usable());
         let usable = usable.filter(|i| may_handle(&self.peers[*i].peer.zone));
         let tried = tried.and_then(|name| self.peers.get(name)).map(|p| &p.peer);
+        let declining = self.peers.values().filter(|p| p.availability == Availability::Declining);
+        let declining: IndexSet<&Zone> = declining.map(|p| &p.peer.zone).collect();
         let least = usable.min_by_key(|i| {
             let state = &self.peers[*i];
             let was_tried = tried.is_some_and(|t| t.name == state.peer.name);
             let zone_was_tried = tried.is_some_and(|t| t.zone == state.peer.zone);
             let other_zone = state.peer.zone != self.zone;
             let draw = rng.random_range(0..u32::MAX);
-            (was_tried, zone_was_tried, state.groups, other_zone, draw)
+            let zone_declines = declining.contains(&state.peer.zone);
+            (was_tried, zone_was_tried, zone_declines, state.groups, other_zone, draw)
         })?;
         Some(self.count_group(least))
     }
--- a/crates/hornbeam_route/tests/common/links.rs
+++ b/crates/hornbeam_route/tests/common/links.rs
@@ -105,7 +105,9 @@
         } else {
             PeerMessage::Declining(entry)
         };
-        for other in (0..self.engines.len()).filter(|o| *o != entry) {
+        let others = (0..self.engines.len()).filter(|o| *o != entry);
+        let hears = |o: &usize| self.connected.as_ref().is_none_or(|c| c.contains(&(*o, entry)));
+        for other in others.filter(hears).collect::<Vec<_>>() {
             self.send_message(other, entry, message.clone());
         }
     }
--- a/crates/hornbeam_route/tests/common/mod.rs
+++ b/crates/hornbeam_route/tests/common/mod.rs
@@ -171,6 +171,9 @@
     contents: HashMap<QueryId, u64>,
     /// Attempts that end their servers.
     crashing: HashSet<AttemptKey>,
+    /// Entries that have delegated a group, with the one that gathered it; if set, entries announce to these
+    /// alone whether they gather groups, as on the connections that they have.
+    pub connected: Option<HashSet<(usize, usize)>>,
     /// Origin entry and group, by the key of the group at its gathering entry.
     gathers: HashMap<QueryId, (usize, AttemptId)>,
     delegations: HashMap<(usize, AttemptId), (usize, QueryId)>,
@@ -241,6 +244,7 @@
             content: None,
             contents: HashMap::new(),
             crashing: HashSet::new(),
+            connected: None,
             gathers: HashMap::new(),
             delegations: HashMap::new(),
             aborted: HashSet::new(),
@@ -760,6 +764,9 @@
             }
             Output::Delegate(delegation) => {
                 let to = entry_number(&delegation.peer);
+                if let Some(connected) = &mut self.connected {
+                    connected.insert((entry, to));
+                }
                 self.send_message(to, entry, PeerMessage::Gather(entry, delegation));
             }
             Output::ConfirmGroup(group) => {
--- a/crates/hornbeam_route/tests/detached.rs
+++ b/crates/hornbeam_route/tests/detached.rs
@@ -102,6 +102,20 @@
     assert_served_alike(&world, zone);
 }
 
+/// Guards against requests that are passed from one entry to the next of a zone in which all are detached, until
+/// they are refused. Each of them declines for itself, and only entries that have asked it before know that.
+#[test]
+fn whole_zone_of_many() {
+    let first_zone = |entry: usize| entry.is_multiple_of(3);
+    let routes = vec![scatter("sweep", 20, 150, 0.89), single("lookup", "tablet", 800)];
+    let mut world = World::in_zones(3, 1, 150, routes, vec![7 * MS, 60 * MS], 6);
+    world.connected = Some(Default::default());
+    world.connect_peers();
+    detach(&mut world, 120.0, LinkFault::Silent, first_zone);
+    run(&mut world, 120.0, 5 * SECOND);
+    assert_served_alike(&world, first_zone);
+}
+
 #[test]
 fn large_fleet() {
     let mut world = large(4);
