Results of groups that add nothing are not kept

Cause: only groups that contribute to a response are taken out of the results. Change: a report without a shard adds nothing to the results. New gauge hornbeam_entry_held_results. Why it works: what is in the results belongs to an attempt or to a group that contributes, and both are used or discarded.

--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -278,6 +278,7 @@
             self.timer.notify_one();
         }
         self.metrics.in_flight.set(self.with_engine(Engine::in_flight) as i64);
+        self.metrics.held_results.set(self.results.borrow().len() as i64);
         self.metrics.reserved_bytes.set(self.memory.used() as i64);
     }
 
--- a/crates/hornbeam_entry/src/groups.rs
+++ b/crates/hornbeam_entry/src/groups.rs
@@ -54,6 +54,10 @@
 
     /// Adds responses of a delegated group to those received before.
     pub fn add_group_responses(&self, group: AttemptId, new: GroupResponses) {
+        if new.signatures.is_empty() {
+            // Only groups that contribute to a response are taken out again.
+            return;
+        }
         let mut results = self.results.borrow_mut();
         let empty = || AttemptResult::Group(GroupResponses::default());
         if let AttemptResult::Group(responses) = results.entry(group).or_insert_with(empty) {
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -49,6 +49,8 @@
     pub gathered_groups: IntCounter,
     /// Requests without a final response.
     pub in_flight: IntGauge,
+    /// Results of attempts and groups that are neither used nor discarded.
+    pub held_results: IntGauge,
     /// Bytes reserved for what servers, callers and other entries send.
     pub reserved_bytes: IntGauge,
     /// Backend servers that accept new requests.
@@ -138,6 +140,10 @@
                 "Shard groups gathered for other entries.",
             ),
             in_flight: gauge("hornbeam_entry_in_flight", "Requests without a final response."),
+            held_results: gauge(
+                "hornbeam_entry_held_results",
+                "Results of attempts and groups that are neither used nor discarded.",
+            ),
             reserved_bytes: gauge(
                 "hornbeam_entry_reserved_bytes",
                 "Bytes reserved for responses, messages and request bodies.",
--- a/crates/hornbeam_soak/src/run.rs
+++ b/crates/hornbeam_soak/src/run.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Mutex;
 
 use crate::caller::{Caller, http, put_table};
-use crate::fleet::{Fleet, ProgramKind, ZONES};
+use crate::fleet::{Fleet, METRICS_PORT, ProgramKind, ZONES};
 use crate::ledger::{CompletedRequest, FAULT_DETECTION_TIME, Ledger, Notice};
 use crate::plan::{Fault, Sizes, draw_faults};
 use crate::proxy::LinkState;
@@ -25,6 +25,9 @@
 const SERVICE_TIME: Duration = Duration::from_millis(4);
 /// Time after the end of the last fault by which the fleet must have recovered.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
+/// Time after the last request within which entries hold no results any more: attempts may last for some
+/// seconds after their requests.
+const RELEASE_TIME: Duration = Duration::from_secs(6);
 /// Fraction of the requests that must be served after the recovery.
 const MIN_SERVED_AFTER_RECOVERY: f64 = 0.95;
 /// Limit on request heads once it was raised, in bytes.
@@ -249,6 +252,30 @@
         }
     }
 
+    /// Waits until no entry holds a result for a request, since there is none; returns what is held after
+    /// [`RELEASE_TIME`].
+    async fn held_results(&self) -> Option<String> {
+        let end = Instant::now() + RELEASE_TIME;
+        for entry in self.fleet.programs.iter().filter(|p| p.kind == ProgramKind::Entry) {
+            let address = SocketAddr::new(entry.bind, METRICS_PORT);
+            loop {
+                let read = http(address, "GET", "/metrics", b"", Duration::from_secs(1)).await;
+                let text = read.map(|(_, body)| String::from_utf8_lossy(&body).into_owned());
+                let gauge = |l: &str| l.strip_prefix("hornbeam_entry_held_results ")?.parse().ok();
+                // Earlier builds do not have it.
+                let held: u64 = text.and_then(|t| t.lines().find_map(gauge)).unwrap_or(0);
+                if held == 0 {
+                    break;
+                }
+                if Instant::now() > end {
+                    return Some(format!("{} holds {held} results without a request", entry.name));
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        None
+    }
+
     /// Reads the routing table from every controller, checks its version and returns the number of
     /// controllers that responded.
     pub async fn read_tables(&self) -> usize {
@@ -319,6 +346,9 @@
             "no controller returns the routing table after the recovery".to_owned(),
         );
     }
+    if let Some(held) = run.held_results().await {
+        ledger.record_violation(held);
+    }
     let served = ledger.served_since(recovered);
     if served < MIN_SERVED_AFTER_RECOVERY {
         ledger.record_violation(format!(
