Tests: a closed address stays closed

Its log shows attempts to the closed address of the test that ended as "connection lost": somebody listened there. The address was that of a listener that had been dropped, so another test running at the same time could get its port. Change: the tests of the entry bind the port of a closed address and do not listen on it, for as long as the test runs. Nothing that is checked has changed.

--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -26,7 +26,7 @@
 };
 use hornbeam_settings::LogRates;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 fn route(idempotent: bool) -> Route {
@@ -136,6 +136,16 @@
     )
 }
 
+/// Returns an address that refuses connections for as long as the test runs: its port is bound, so that no other
+/// test listens on it meanwhile.
+pub fn closed_address() -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    address
+}
+
 /// Makes `other` known to `origin` as an entry of another zone that gathers groups.
 pub async fn connect_entries(origin: &Rc<Core>, other: &Rc<Core>) {
     other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
--- a/crates/hornbeam_entry/tests/cut_heads.rs
+++ b/crates/hornbeam_entry/tests/cut_heads.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use common::{connect_entries, core, named_core, read_request, request, run_local};
+use common::{closed_address, connect_entries, core, named_core, read_request, request, run_local};
 use hornbeam_entry::core::Reply;
 use hornbeam_entry::response::read_response;
 use hornbeam_node::memory::MemoryBudget;
@@ -76,7 +76,7 @@
 #[test]
 fn relayed_request() {
     run_local(async {
-        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let closed = closed_address();
         for head in heads() {
             let cut = &head[..head.len() - 2];
             let origin = named_core("e0", &[closed], false);
--- a/crates/hornbeam_entry/tests/false_refusals.rs
+++ b/crates/hornbeam_entry/tests/false_refusals.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use common::{connect_entries, core, named_core, read_request, request, run_local};
+use common::{closed_address, connect_entries, core, named_core, read_request, request, run_local};
 use hornbeam_entry::core::{Core, Reply};
 use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
@@ -39,7 +39,7 @@
 
 /// An entry that reaches no server and relays to the entry `other`.
 async fn relaying_core(other: Rc<Core>, idempotent: bool) -> Rc<Core> {
-    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let closed = closed_address();
     let origin = named_core("e0", &[closed], idempotent);
     connect_entries(&origin, &other).await;
     origin
--- a/crates/hornbeam_entry/tests/memory_budget.rs
+++ b/crates/hornbeam_entry/tests/memory_budget.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use common::{
-    connect, connect_entries, core_with_memory, read_request, request, run_local, servers, table,
+    closed_address, connect, connect_entries, core_with_memory, read_request, request, run_local,
+    servers, table,
 };
 use hornbeam_entry::core::{Core, Reply};
 use hornbeam_model::Routing;
@@ -120,7 +121,7 @@
 #[test]
 fn relayed_answers() {
     run_local(async {
-        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let closed = closed_address();
         let (memory, others) = (MemoryBudget::new(24 * MIB), MemoryBudget::new(24 * MIB));
         let origin = entry("e0", closed, &memory, true);
         let other = entry("e1", start_server(7 * MIB, false).await, &others, true);
--- a/crates/hornbeam_entry/tests/refused_connections.rs
+++ b/crates/hornbeam_entry/tests/refused_connections.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::run_local;
+use common::{closed_address, run_local};
 use hornbeam_entry::backends::Backends;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -15,7 +15,7 @@
         let [ended, refusing, accepting] = ["s0", "s1", "s2"].map(|name| name.parse().unwrap());
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let open = listener.local_addr().unwrap();
-        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let closed = closed_address();
         let backends = Backends::default();
         let [refusing, accepting] = [(refusing, closed), (accepting, open)];
         assert!(!backends.has_ended(&ended, closed, std::slice::from_ref(&refusing)).await);
--- a/crates/hornbeam_entry/tests/relayed_requests.rs
+++ b/crates/hornbeam_entry/tests/relayed_requests.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use common::{connect_entries, named_core, read_head, request, run_local};
+use common::{closed_address, connect_entries, named_core, read_head, request, run_local};
 use hornbeam_entry::core::{Core, Reply};
 use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
@@ -40,13 +40,9 @@
     (address, seen)
 }
 
-async fn closed_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
-}
-
 /// An entry that reaches no server, and one beside it that reaches the server at `address`.
 async fn entries(address: SocketAddr, idempotent: bool) -> (Rc<Core>, Rc<Core>) {
-    let origin = named_core("e0", &[closed_address().await], idempotent);
+    let origin = named_core("e0", &[closed_address()], idempotent);
     let other = named_core("e1", &[address], idempotent);
     connect_entries(&origin, &other).await;
     (origin, other)
@@ -108,7 +104,7 @@
 #[test]
 fn no_entry_with_servers() {
     run_local(async {
-        let (origin, _other) = entries(closed_address().await, true).await;
+        let (origin, _other) = entries(closed_address(), true).await;
         let Reply::Refuse(refusal) = request(&origin, "r1").await else { panic!("not refused") };
         assert_eq!(refusal.kind, RefusalKind::NoServer);
     });
--- a/crates/hornbeam_entry/tests/spoilt_heads.rs
+++ b/crates/hornbeam_entry/tests/spoilt_heads.rs
@@ -6,7 +6,10 @@
 
 use std::net::SocketAddr;
 
-use common::{connect_entries, core, merging_core, named_core, read_request, request, run_local};
+use common::{
+    closed_address, connect_entries, core, merging_core, named_core, read_request, request,
+    run_local,
+};
 use hornbeam_entry::core::Reply;
 use hornbeam_route::RefusalKind;
 use tokio::io::AsyncWriteExt;
@@ -235,7 +238,7 @@
 }
 
 async fn ask_relayed(response: &str) -> Reply {
-    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let closed = closed_address();
     let origin = named_core("e0", &[closed], false);
     let other = named_core("e1", &[start_server(response).await], false);
     connect_entries(&origin, &other).await;
@@ -243,7 +246,7 @@
 }
 
 async fn ask_gathered(response: &str) -> Reply {
-    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let closed = closed_address();
     let origin = merging_core("e0", closed);
     let other = merging_core("e1", start_server(response).await);
     connect_entries(&origin, &other).await;
--- a/crates/hornbeam_entry/tests/teams.rs
+++ b/crates/hornbeam_entry/tests/teams.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{connect, connect_entries, core, read_head, response, run_local};
+use common::{closed_address, connect, connect_entries, core, read_head, response, run_local};
 use hornbeam_entry::contact::majority_at;
 use hornbeam_entry::core::Core;
 use hornbeam_model::{KeyDigest, Mono, Routing, TableVersion, Team, TrafficPolicy};
@@ -233,7 +233,7 @@
 fn relayed_by_another_entry() {
     run_local(async {
         let (server, heads) = start_server().await;
-        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let closed = closed_address();
         let origin = core(closed, true);
         let other = common::named_core("e1", &[server], true);
         connect_entries(&origin, &other).await;
