--- a/crates/hornbeam_control/src/voter.rs
+++ b/crates/hornbeam_control/src/voter.rs
@@ -12,7 +12,7 @@
 /// File that holds the latest configuration of an instance.
 const CONFIG_FILE: &str = "config";
 
-/// File that holds the initial voters of the log that an instance was told to start.
+/// File that holds the initial voters of the log that an instance helps to start.
 const FOUNDERS_FILE: &str = "founders";
 
 /// A [`Raft`] instance together with its disk.
@@ -99,8 +99,8 @@
 }
 
 /// Returns the initial voters of the log that the instance with this folder starts: those that the settings name,
-/// or else those that they named when it was first told to start one. It may end before the log exists, and is
-/// told so only once.
+/// or else those that they named at an earlier start. The settings name them at the first start only, and the
+/// instance may end before the log exists.
 ///
 /// # Errors
 ///
--- a/crates/hornbeam_entry/src/core.rs
+++ b/crates/hornbeam_entry/src/core.rs
@@ -10,6 +10,7 @@
 use hornbeam_discovery::{FeedCounts, InitialSync, Isolation, ServerReach};
 use hornbeam_model::{AttemptId, CallerLimits, CrashReport, Mono, QueryId, RateReport};
 use hornbeam_node::clock::Clock;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_route::{Attempt, Completion, Engine, Input, Output, Refusal, merge_records};
 use serde_json::json;
@@ -23,7 +24,6 @@
 pub use crate::request::{ForwardedRequest, ReceivedRequest};
 use crate::response::RawResponse;
 use crate::team_fields::SetAside;
-use hornbeam_node::memory::MemoryBudget;
 
 /// Longest sleep of the timer task.
 const MAX_TIMER_SLEEP: Duration = Duration::from_millis(500);
--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -9,14 +9,13 @@
 
 use bytes::{Buf, BytesMut};
 use hornbeam_node::frames::length_prefixed;
+use hornbeam_node::memory::{MemoryBudget, Reservation};
 use hornbeam_protocol::FrameKey;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use hornbeam_node::memory::{MemoryBudget, Reservation};
-
 /// Longest message that is accepted or sent, in bytes: the longest response body with its head.
 const MAX_MESSAGE_BYTES: usize = 9 << 20;
 /// Buffered bytes above which the next message closes the connection, because the peer does not
--- a/crates/hornbeam_entry/src/response.rs
+++ b/crates/hornbeam_entry/src/response.rs
@@ -6,6 +6,7 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
+use hornbeam_node::memory::{MemoryBudget, Reservation, SMALL_BYTES, UNRESERVED_BYTES};
 use hornbeam_route::{RECORD_BYTES, merge_records};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -13,7 +14,6 @@
 
 use crate::chunks::{ChunkLine, chunk_line, trailer_section};
 use crate::response_head::{self, Framing, HeadScanner, ResponseHead, begins_response, invalid};
-use hornbeam_node::memory::{MemoryBudget, Reservation, SMALL_BYTES, UNRESERVED_BYTES};
 
 /// Longest response body accepted from a server, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -8,6 +8,7 @@
 
 use hornbeam_model::{Mono, TeamUsage};
 use hornbeam_node::clock::Clock;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
 use hornbeam_node::socket;
@@ -32,7 +33,6 @@
 use crate::group_exchange::{self, GroupExchange};
 use crate::metrics::Metrics;
 use crate::team_usage::send_team_usage;
-use hornbeam_node::memory::MemoryBudget;
 
 /// Time for which an attempt that is no longer needed may finish so that its connection can be
 /// reused: work that finishes sooner than a new connection opens is worth keeping, but work for a
--- a/crates/hornbeam_entry/tests/teams.rs
+++ b/crates/hornbeam_entry/tests/teams.rs
@@ -141,8 +141,8 @@
     });
 }
 
-/// Guards against a public route that opens another one of its name. In tables of earlier builds it cannot be
-/// told which of them is public.
+/// Guards against a public route that opens another one of its name. In tables of earlier builds it is not
+/// known which of them is public.
 #[test]
 fn public_namesake() {
     run_local(async {
--- a/crates/hornbeam_model/src/route_names.rs
+++ b/crates/hornbeam_model/src/route_names.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns the table with a distinct name for each route. Which of several routes of one name the policy
-    /// means cannot be told: all of them get its regions, and none is public.
+    /// means is not known: all of them get its regions, and none is public.
     pub fn with_distinct_names(self: Arc<Self>) -> Arc<Self> {
         if self.repeated_name().is_none() {
             return self;
--- a/crates/hornbeamrun/tests/killed_founders.rs
+++ b/crates/hornbeamrun/tests/killed_founders.rs
@@ -1,5 +1,5 @@
 //! Guards against a control log that never starts because all controllers were killed before it existed: they are
-//! told to start one only at their first start, and forgot it.
+//! asked to start one only at their first start, and forgot it.
 
 use std::path::PathBuf;
 use std::time::Duration;
