Controllers and pages bound what all their connections hold

Callers saw: a controller runs out of memory when many clients send large bodies or heads to its API and stop a byte short of their end; pages of readiness and metrics do the same for heads. Cause: each connection was bounded, but not their sum: bodies up to 8 MiB, heads up to 400 KB, a copy of the whole routing table for each read, and as many connections as there are descriptors. A refused body kept its connection. Change: hornbeam_node::connections admits connections by kind, counts heads, the capacity of bodies and tables that are being decoded against a part of memory_mb, and closes the connection without progress for longest where there is no room. Reads share the document of a table.

--- a/crates/hornbeam_controller/src/api.rs
+++ b/crates/hornbeam_controller/src/api.rs
@@ -1,5 +1,6 @@
 //! HTTP API for backend servers and operators.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,8 +8,11 @@
 
 use bytes::Bytes;
 use hornbeam_model::{Incarnation, InstanceId, Routing, ServerId, Zone, ZoneOrder};
+use hornbeam_node::connections::{Connection, ConnectionGroup};
+use hornbeam_node::pages::ServerLimits;
+use hornbeam_node::request_body::{BodyError, read_body};
 use hornbeam_protocol::discovery::{LifeStage, ServerClaim};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -21,12 +25,15 @@
 const MAX_HEARTBEAT_BYTES: usize = 16 << 10;
 /// Maximum body size of a routing table, in bytes.
 const MAX_TABLE_BYTES: usize = 8 << 20;
-/// Maximum time for a request body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory that a routing table takes while it is decoded, checked and committed, per byte of its document.
+const DECODED_TABLE_FACTOR: usize = 4;
+/// When a call that found no memory may be sent again, in seconds: connections without progress have given way then.
+const NO_ROOM_RETRY_AFTER: &str = "0.25";
 /// Maximum wait for the response of the controller loop; callers give up after 1 second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(950);
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Limits on each connection of a server or an operator.
+const API_LIMITS: ServerLimits =
+    ServerLimits { idle: Duration::from_secs(60), head_bytes: 64 << 10 };
 /// Delay of the acknowledgment of a departure, in which the feeds carry the departure to the
 /// entries.
 const DEPARTURE_FLUSH: Duration = Duration::from_millis(20);
@@ -66,19 +73,18 @@
 
 /// State shared by the HTTP handlers.
 pub struct Api {
-    /// Encoding of calls and bodies.
-    pub dialect: Dialect,
-    /// Sender to the controller loop.
-    pub tx: mpsc::UnboundedSender<ApiRequest>,
-    /// Looks up the API address of a controller, for redirects to the leader.
-    pub address_of: AddressLookup,
+    dialect: Dialect,
+    tx: mpsc::UnboundedSender<ApiRequest>,
+    address_of: AddressLookup,
+    /// Number of routing tables that are decoded or wait to be committed.
+    pending_tables: Cell<usize>,
 }
 
 /// Accepts connections and serves API calls until the task is dropped.
-pub async fn accept(api: Rc<Api>, listener: TcpListener) {
-    hornbeam_node::pages::accept(listener, IDLE_TIMEOUT, move |req| {
+pub async fn accept(api: Rc<Api>, listener: TcpListener, clients: ConnectionGroup) {
+    hornbeam_node::pages::accept(listener, clients, API_LIMITS, move |req, connection| {
         let api = api.clone();
-        async move { api.handle(req).await }
+        async move { api.handle(req, &connection).await }
     })
     .await;
 }
@@ -86,8 +92,18 @@
 type HttpResponse = Response<Full<Bytes>>;
 
 impl Api {
+    /// Creates the state of an API with this encoding of calls and bodies, which passes requests to the controller
+    /// loop and looks up the API addresses of controllers for redirects to the leader.
+    pub fn new(
+        dialect: Dialect,
+        tx: mpsc::UnboundedSender<ApiRequest>,
+        address_of: AddressLookup,
+    ) -> Self {
+        Self { dialect, tx, address_of, pending_tables: Cell::new(0) }
+    }
+
     /// Handles one HTTP request.
-    async fn handle(&self, req: Request<Incoming>) -> HttpResponse {
+    async fn handle(&self, req: Request<Incoming>, connection: &Connection) -> HttpResponse {
         let path = req.uri().path().to_owned();
         let Some(call) = (self.dialect.parse_call)(req.method(), &path) else {
             return error_response(StatusCode::NOT_FOUND, "no such API call: see docs/API.md");
@@ -96,21 +112,9 @@
             Call::PutTable => MAX_TABLE_BYTES,
             _ => MAX_HEARTBEAT_BYTES,
         };
-        let body = Limited::new(req.into_body(), max).collect();
-        let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) => {
-                return closing(error_response(
-                    StatusCode::BAD_REQUEST,
-                    &format!("the request body cannot be read: {e}"),
-                ));
-            }
-            Err(_) => {
-                return closing(error_response(
-                    StatusCode::REQUEST_TIMEOUT,
-                    "the request body did not arrive in time",
-                ));
-            }
+        let body = match read_body(connection, req.into_body(), max).await {
+            Ok(body) => body,
+            Err(e) => return unread_response(e),
         };
         match call {
             Call::Heartbeat(server) => self.heartbeat(server, &body).await,
@@ -118,7 +122,7 @@
                 let incarnation = (self.dialect.parse_departure)(&body);
                 self.submit(ApiRequest::Depart(server, incarnation), true).await
             }
-            Call::PutTable => self.put_table(&path, &body).await,
+            Call::PutTable => self.put_table(&path, &body, connection).await,
             Call::GetTable => self.submit_and_wait(&path, ApiRequest::GetTable).await,
             Call::BeginEvacuation(zone) => self.order_zone(&path, zone, true).await,
             Call::FinishEvacuation(zone) => self.order_zone(&path, zone, false).await,
@@ -149,7 +153,17 @@
         json_response(StatusCode::OK, b"{}".to_vec())
     }
 
-    async fn put_table(&self, path: &str, body: &[u8]) -> HttpResponse {
+    async fn put_table(&self, path: &str, body: &[u8], connection: &Connection) -> HttpResponse {
+        let _pending = PendingTable::new(&self.pending_tables);
+        let mut decoded = connection.reservation();
+        let size = DECODED_TABLE_FACTOR * body.len();
+        if !connection.reserve(&mut decoded, size).await {
+            if self.pending_tables.get() > 1 {
+                return unread_response(BodyError::NoRoom);
+            }
+            // A single table is taken in any case.
+            decoded.set(size);
+        }
         let table = (self.dialect.parse_table)(body);
         let checked = table.and_then(|t| match t.check() {
             Ok(()) => Ok(t),
@@ -191,7 +205,7 @@
         };
         match response {
             ApiResponse::InForce => json_response(StatusCode::OK, b"{}".to_vec()),
-            ApiResponse::Table(table) => json_response(StatusCode::OK, table_body(&table)),
+            ApiResponse::Table(table) => json_response(StatusCode::OK, table_body(table)),
             ApiResponse::Redirect(leader) => self.redirect(&leader, path),
             ApiResponse::UnknownZone(zone) => {
                 let text = format!(
@@ -220,25 +234,69 @@
     }
 }
 
+/// Counts a routing table as pending until dropped.
+struct PendingTable<'a>(&'a Cell<usize>);
+
+impl<'a> PendingTable<'a> {
+    fn new(pending: &'a Cell<usize>) -> Self {
+        pending.set(pending.get() + 1);
+        Self(pending)
+    }
+}
+
+impl Drop for PendingTable<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The document of a routing table, which all its readers share.
+struct TableDocument(Arc<Routing>);
+
+impl AsRef<[u8]> for TableDocument {
+    fn as_ref(&self) -> &[u8] {
+        &self.0.document
+    }
+}
+
 /// Returns the body for reading a table: the document as the operator sent it, if it is kept.
-fn table_body(table: &Routing) -> Vec<u8> {
+fn table_body(table: Arc<Routing>) -> Bytes {
     if table.document.is_empty() {
-        return serde_json::to_vec(table).unwrap_or_default();
+        return serde_json::to_vec(&*table).unwrap_or_default().into();
     }
-    table.document.clone()
+    Bytes::from_owner(TableDocument(table))
 }
 
-fn json_response(status: StatusCode, body: Vec<u8>) -> HttpResponse {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = status;
-    let kind = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+/// Returns the response to a request whose body was not read.
+fn unread_response(e: BodyError) -> HttpResponse {
+    let (status, problem) = match e {
+        BodyError::TooLong => {
+            (StatusCode::BAD_REQUEST, "the request body is too long: see docs/API.md")
+        }
+        BodyError::Invalid => {
+            (StatusCode::BAD_REQUEST, "the request body is malformed or incomplete: send it again")
+        }
+        BodyError::TimedOut => {
+            (StatusCode::REQUEST_TIMEOUT, "the request body did not arrive in time")
+        }
+        BodyError::NoRoom => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this controller holds too many large requests: call another controller",
+        ),
+    };
+    let mut response = error_response(status, problem);
+    if e == BodyError::NoRoom {
+        let after = HeaderValue::from_static(NO_ROOM_RETRY_AFTER);
+        response.headers_mut().insert(header::RETRY_AFTER, after);
+    }
     response
 }
 
-/// Closes the connection after the response, because the request was not read to its end.
-fn closing(mut response: HttpResponse) -> HttpResponse {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+fn json_response(status: StatusCode, body: impl Into<Bytes>) -> HttpResponse {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
 }
 
--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of one controller.
 
+use hornbeam_node::connections::Connections;
 use hornbeam_node::exposition::{encode_text, register};
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
@@ -35,6 +36,12 @@
     pub entries_table: IntGauge,
     /// Index of the last log entry that this controller knows to be committed.
     pub committed_index: IntGauge,
+    /// Open connections of servers, operators, pages and strangers.
+    pub client_connections: IntGauge,
+    /// Bytes reserved for what they send.
+    pub client_bytes: IntGauge,
+    /// Connections that were closed to make room.
+    pub displaced_connections: IntGauge,
 }
 
 impl Default for Metrics {
@@ -82,12 +89,31 @@
                 "hornbeam_controller_committed_index",
                 "Last log entry known to be committed.",
             ),
+            client_connections: gauge(
+                "hornbeam_controller_client_connections",
+                "Open connections of servers, operators, pages and strangers.",
+            ),
+            client_bytes: gauge(
+                "hornbeam_controller_client_bytes",
+                "Bytes reserved for what servers, operators and strangers send.",
+            ),
+            displaced_connections: gauge(
+                "hornbeam_controller_displaced_connections",
+                "Connections that were closed to make room.",
+            ),
             registry,
         }
     }
 }
 
 impl Metrics {
+    /// Sets what is known of the connections of clients.
+    pub fn set_clients(&self, connections: &Connections) {
+        self.client_connections.set(connections.open() as i64);
+        self.client_bytes.set(connections.reserved_bytes() as i64);
+        self.displaced_connections.set(connections.displaced() as i64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         encode_text(&self.registry)
--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -7,8 +7,10 @@
 
 use hornbeam_model::Routing;
 use hornbeam_node::clock::{Clock, unix_us};
+use hornbeam_node::connections::{ClientLimits, ClientShare, Connections};
 use hornbeam_node::control::net::{Incoming, Net, NetParams};
 use hornbeam_node::journal::EventLog;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
 use hornbeam_node::socket;
 use hornbeam_node::structured::StructuredLog;
@@ -25,6 +27,8 @@
 use crate::metrics::Metrics;
 use crate::state::{Controller, ControllerParams, Inputs};
 
+/// The part of the process that servers, operators and strangers may take. Each server keeps a connection.
+const CLIENT_SHARE: ClientShare = ClientShare { memory_percent: 25, clients_per_mb: 12 };
 /// Time for which API calls are still served after SIGTERM.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(300);
 
@@ -48,11 +52,19 @@
     let mut hup = signal(SignalKind::hangup()).context(StartSnafu { what: "SIGHUP" })?;
     let me = settings.inner_name().ok_or(ProgramError::Missing { field: "address" })?;
     let api_address = settings.api.ok_or(ProgramError::Missing { field: "api" })?;
-    let listener = socket::listen(api_address, socket::CALLERS).await;
+    let limits = ClientLimits::new(settings.memory_mb, settings.descriptors, CLIENT_SHARE);
+    let connections = Connections::new(MemoryBudget::new(limits.memory));
+    let listener = socket::listen_for_clients(api_address).await;
     let listener = listener.context(BindSnafu { field: "api", address: api_address })?;
     let metrics = Metrics::default();
     let exported = metrics.clone();
-    program::serve_metrics(settings.metrics, move || exported.text()).await?;
+    let open = connections.clone();
+    let pages = connections.group(limits.pages);
+    program::serve_metrics(settings.metrics, pages, move || {
+        exported.set_clients(&open);
+        exported.text()
+    })
+    .await?;
     let fields = json!({"lifecycle": "started", "role": "controller", "zone": settings.zone});
     log.write("lifecycle", false, &fields);
     let (request_tx, requests) = mpsc::unbounded_channel();
@@ -62,8 +74,8 @@
         build(&settings, file, &me, dialect.parse_table, &log, &metrics).await?;
     let inputs = Inputs { requests, feed_events, incoming, reload, shutdown };
     let address_of = Box::new(move |name: &_| settings.api_address(name));
-    let api = Rc::new(Api { dialect, tx: request_tx, address_of });
-    tokio::task::spawn_local(accept(api, listener));
+    let api = Rc::new(Api::new(dialect, request_tx, address_of));
+    tokio::task::spawn_local(accept(api, listener, connections.group(limits.clients)));
     tokio::task::spawn_local(controller.run(inputs));
     loop {
         tokio::select! {
--- a/crates/hornbeam_controller/tests/zone_orders.rs
+++ b/crates/hornbeam_controller/tests/zone_orders.rs
@@ -13,9 +13,11 @@
 use hornbeam_controller::state::{Controller, ControllerParams, Inputs};
 use hornbeam_model::{InstanceId, OrderIndex, ZoneOrders};
 use hornbeam_node::clock::Clock;
+use hornbeam_node::connections::{ConnectionGroup, Connections};
 use hornbeam_node::control::net::{Net, NetParams};
 use hornbeam_node::frames::{read_frame, write_frame};
 use hornbeam_node::journal::EventLog;
+use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::discovery::{ControllerMessage, EntryInfo, FeedDown, FeedUp};
 use hornbeam_protocol::features::Features;
@@ -36,6 +38,10 @@
     IpAddr::V4(Ipv4Addr::new(127, 64 + (pid >> 8) as u8 % 128, pid as u8, test * 16 + n))
 }
 
+fn group() -> ConnectionGroup {
+    Connections::new(MemoryBudget::default()).group(64)
+}
+
 async fn start_controller(folder: &Path, test: u8, n: u8) {
     let address = ip(test, n);
     let seeds: Vec<String> = (1..4).map(|i| format!("\"{}:{API_PORT}\"", ip(test, i))).collect();
@@ -83,8 +89,8 @@
         metrics: Metrics::default(),
     });
     let address_of = Box::new(move |name: &InstanceId| settings.api_address(name));
-    let api = Rc::new(Api { dialect, tx, address_of });
-    tokio::task::spawn_local(accept(api, listener));
+    let api = Rc::new(Api::new(dialect, tx, address_of));
+    tokio::task::spawn_local(accept(api, listener, group()));
     let (reload_tx, reload) = mpsc::unbounded_channel();
     let (shutdown_tx, shutdown) = mpsc::unbounded_channel();
     tokio::task::spawn_local(async move {
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of one entry.
 
+use hornbeam_node::connections::Connections;
 use hornbeam_node::exposition::{encode_text, register};
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -51,8 +52,14 @@
     pub in_flight: IntGauge,
     /// Results of attempts and groups that are neither used nor discarded.
     pub held_results: IntGauge,
-    /// Bytes reserved for what servers, callers and other entries send.
+    /// Bytes reserved for what servers and other entries send.
     pub reserved_bytes: IntGauge,
+    /// Open connections of callers, pages and strangers.
+    pub client_connections: IntGauge,
+    /// Bytes reserved for what they send.
+    pub client_bytes: IntGauge,
+    /// Connections that were closed to make room.
+    pub displaced_connections: IntGauge,
     /// Backend servers that accept new requests.
     pub usable_servers: IntGauge,
     /// Zones whose servers are evacuated.
@@ -146,7 +153,19 @@
             ),
             reserved_bytes: gauge(
                 "hornbeam_entry_reserved_bytes",
-                "Bytes reserved for responses, messages and request bodies.",
+                "Bytes reserved for responses and messages.",
+            ),
+            client_connections: gauge(
+                "hornbeam_entry_client_connections",
+                "Open connections of callers, pages and strangers.",
+            ),
+            client_bytes: gauge(
+                "hornbeam_entry_client_bytes",
+                "Bytes reserved for what callers and strangers send.",
+            ),
+            displaced_connections: gauge(
+                "hornbeam_entry_displaced_connections",
+                "Connections that were closed to make room.",
             ),
             usable_servers: gauge(
                 "hornbeam_entry_usable_servers",
@@ -175,6 +194,13 @@
 }
 
 impl Metrics {
+    /// Sets what is known of the connections of clients.
+    pub fn set_clients(&self, connections: &Connections) {
+        self.client_connections.set(connections.open() as i64);
+        self.client_bytes.set(connections.reserved_bytes() as i64);
+        self.displaced_connections.set(connections.displaced() as i64);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         encode_text(&self.registry)
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -8,6 +8,7 @@
 
 use hornbeam_model::{Mono, TeamUsage};
 use hornbeam_node::clock::Clock;
+use hornbeam_node::connections::{ClientLimits, ClientShare, Connections};
 use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
@@ -50,9 +51,11 @@
 /// Maximum number of requests in flight per megabyte of memory; a request with its shard responses
 /// takes about 100 KB.
 const MAX_REQUESTS_PER_MB: usize = 4;
-/// Percentage of the memory that may hold what servers, callers and other entries send. Merging and
-/// encoding hold copies besides.
+/// Percentage of the memory that may hold what servers and other entries send. Merging and encoding hold
+/// copies besides.
 const MESSAGE_MEMORY_PERCENT: usize = 40;
+/// The part of the process that callers and strangers may take.
+const CLIENT_SHARE: ClientShare = ClientShare { memory_percent: 20, clients_per_mb: 6 };
 /// Interval at which a draining entry checks whether all requests and connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval of the health reports about backend servers.
@@ -130,14 +133,21 @@
     let (stage_tx, stage) = watch::channel(Stage::Serving);
 
     let callers = settings.callers.ok_or(ProgramError::Missing { field: "callers" })?;
+    let limits = ClientLimits::new(settings.memory_mb, settings.descriptors, CLIENT_SHARE);
+    let connections = Connections::new(MemoryBudget::new(limits.memory));
     let listener = socket::listen(callers, socket::CALLERS).await;
     let listener = listener.context(BindSnafu { field: "callers", address: callers })?;
     if let Some(address) = settings.ready {
         let pages = ready_pages(&core, stage.clone(), ready_path);
-        serve(address, pages).await.context(BindSnafu { field: "ready", address })?;
+        let group = connections.group(limits.pages);
+        serve(address, group, pages).await.context(BindSnafu { field: "ready", address })?;
     }
-    let metrics = core.metrics.clone();
-    program::serve_metrics(settings.metrics, move || metrics.text()).await?;
+    let (metrics, open) = (core.metrics.clone(), connections.clone());
+    program::serve_metrics(settings.metrics, connections.group(limits.pages), move || {
+        metrics.set_clients(&open);
+        metrics.text()
+    })
+    .await?;
     let inner = settings.bind_address(SocketAddr::new(settings.address, settings.inner_port));
     let group_listener = socket::listen(inner, socket::PEERS).await;
     let group_listener =
--- a/crates/hornbeam_node/src/lib.rs
+++ b/crates/hornbeam_node/src/lib.rs
@@ -15,13 +15,18 @@
 //! - [`http`]: HTTP routes and handlers
 //! - [`logging`]: setup of the process log
 //! - [`memory`]: memory for what others send
+//! - [`connections`]: open connections of clients, and which of them give way
+//! - [`client_stream`]: the byte stream of a client's connection
+//! - [`request_body`]: reading of request bodies within the memory for them
 //! - [`pages`]: HTTP endpoints for the platform, such as readiness and metrics
 //! - [`program`]: startup and monitoring code shared by entries and controllers
 //! - [`structured`]: structured log lines on standard output
 //! - [`node`]: starts and stops an instance
 
 pub mod backends;
+pub mod client_stream;
 pub mod clock;
+pub mod connections;
 pub mod control;
 pub mod exposition;
 pub mod frames;
@@ -33,6 +38,7 @@
 pub mod node;
 pub mod pages;
 pub mod program;
+pub mod request_body;
 pub mod socket;
 pub mod structured;
 pub mod traffic;
--- a/crates/hornbeam_node/src/memory.rs
+++ b/crates/hornbeam_node/src/memory.rs
@@ -5,8 +5,10 @@
 //! a budget that is a part of the process's memory, and returned when the last reference to them is dropped:
 //! also while they wait for other shards, for another entry or for a caller that reads slowly.
 
-use std::sync::Arc;
+use std::fmt;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::Notify;
@@ -17,6 +19,8 @@
 /// large messages do not keep out all others. In bytes.
 pub const SMALL_BYTES: usize = 64 << 10;
 const LARGE_PERCENT: usize = 75;
+/// Interval at which a message that waits for room asks again whether something can be reclaimed.
+const RECLAIM_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A budget of memory; clones share it.
 #[derive(Clone, Debug)]
@@ -24,12 +28,24 @@
     shared: Arc<Shared>,
 }
 
-#[derive(Debug)]
+type Reclaim = Box<dyn Fn() + Send + Sync>;
+
 struct Shared {
     used: AtomicUsize,
     limit: usize,
     /// Notified when bytes are returned.
     returned: Notify,
+    /// Called while a message waits for room.
+    reclaim: OnceLock<Reclaim>,
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("used", &self.used)
+            .field("limit", &self.limit)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Default for MemoryBudget {
@@ -42,7 +58,12 @@
 impl MemoryBudget {
     /// Creates a budget of `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        let shared = Shared { used: AtomicUsize::new(0), limit, returned: Notify::new() };
+        let shared = Shared {
+            used: AtomicUsize::new(0),
+            limit,
+            returned: Notify::new(),
+            reclaim: OnceLock::new(),
+        };
         Self { shared: Arc::new(shared) }
     }
 
@@ -56,6 +77,17 @@
         self.shared.used.load(Ordering::Relaxed)
     }
 
+    /// Sets a function that makes holders of memory give it up. It is called while a message waits for room. Only
+    /// the first call has an effect.
+    pub fn reclaim_by(&self, reclaim: impl Fn() + Send + Sync + 'static) {
+        let _ = self.shared.reclaim.set(Box::new(reclaim));
+    }
+
+    /// Waits until bytes are returned.
+    pub async fn returned(&self) {
+        self.shared.returned.notified().await;
+    }
+
     /// Returns bytes that are in memory already, with a reservation that ends with them. It may exceed the
     /// budget, so that nothing more is read meanwhile.
     pub fn hold(&self, bytes: Vec<u8>) -> Bytes {
@@ -109,7 +141,13 @@
             if self.try_extend(size) {
                 return;
             }
-            returned.await;
+            match budget.shared.reclaim.get() {
+                Some(reclaim) => {
+                    reclaim();
+                    let _ = tokio::time::timeout(RECLAIM_INTERVAL, returned).await;
+                }
+                None => returned.await,
+            }
         }
     }
 
--- a/crates/hornbeam_node/src/program.rs
+++ b/crates/hornbeam_node/src/program.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock::suspended_time;
+use crate::connections::ConnectionGroup;
 use crate::pages::{Pages, serve};
 use crate::structured::StructuredLog;
 
@@ -85,11 +86,12 @@
 /// Returns an error if the address cannot be bound.
 pub async fn serve_metrics(
     address: Option<SocketAddr>,
+    group: ConnectionGroup,
     text: impl Fn() -> Vec<u8> + 'static,
 ) -> Result<(), ProgramError> {
     let Some(address) = address else { return Ok(()) };
     let pages: Pages = Rc::new(move |path| (path == "/metrics").then(|| (StatusCode::OK, text())));
-    serve(address, pages).await.context(BindSnafu { field: "metrics", address })
+    serve(address, group, pages).await.context(BindSnafu { field: "metrics", address })
 }
 
 /// Accepts the next connection of a listener. Retries if accepting fails, for example because the
--- a/crates/hornbeam_node/src/socket.rs
+++ b/crates/hornbeam_node/src/socket.rs
@@ -34,6 +34,9 @@
 /// Streams between controllers and between instances; shorter than an election takes.
 pub const CONTROL: Liveness = Liveness::new(800, 1, 1);
 
+/// Receive and send buffer of a client's connection, in bytes. The kernel doubles it for its own use.
+const CLIENT_BUFFER_BYTES: usize = 16 << 10;
+
 impl Liveness {
     const fn new(user_timeout_ms: u64, idle_s: u64, interval_s: u64) -> Self {
         Self {
@@ -69,6 +72,31 @@
     Ok(listener)
 }
 
+/// Listens for clients like [`listen`], and bounds what the kernel holds for each: bytes that have arrived and are
+/// not read, and bytes that the client does not take.
+///
+/// # Errors
+///
+/// Returns an error under the same conditions as [`listen`].
+pub async fn listen_for_clients(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = listen(address, CALLERS).await?;
+    bound_buffers(SockRef::from(&listener));
+    Ok(listener)
+}
+
+/// Bounds the kernel's buffers of the connections that a listener accepts.
+pub fn bound_buffers(listener: SockRef<'_>) {
+    // Without the bounds the kernel may hold more, but all else works.
+    for bounded in [
+        listener.set_recv_buffer_size(CLIENT_BUFFER_BYTES),
+        listener.set_send_buffer_size(CLIENT_BUFFER_BYTES),
+    ] {
+        if let Err(e) = bounded {
+            log::warn!("cannot bound the socket buffers of clients: {e}");
+        }
+    }
+}
+
 /// Prepares a connection that was opened: sends small messages at once, and ends by `liveness`.
 ///
 /// # Errors
--- a/crates/hornbeam_settings/src/fleet.rs
+++ b/crates/hornbeam_settings/src/fleet.rs
@@ -20,6 +20,8 @@
 const DEFAULT_DELEGATE_ABOVE_SHARDS: usize = 32;
 /// Default memory of the process, in megabytes.
 const DEFAULT_MEMORY_MB: u32 = 256;
+/// Default number of descriptors of the process.
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
 
 /// Default time without a majority of the controllers after which strict entries refuse keys, in
 /// milliseconds: a dozen heartbeats of a feed.
@@ -228,9 +230,14 @@
     /// before it knows which zones are evacuated.
     #[serde(default)]
     pub evacuations: bool,
-    /// Memory of the process, in megabytes; it bounds the number of in-flight requests.
+    /// Memory of the process, in megabytes; it bounds the number of in-flight requests, and what clients may make
+    /// the process hold.
     #[serde(default = "default_memory")]
     pub memory_mb: u32,
+    /// Descriptors of the process; they bound the number of connections. The limit of the operating system holds
+    /// as well.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: u32,
 }
 
 /// Reads a map that may be null, as a template fills it in for a deployment without zones.
@@ -255,6 +262,10 @@
     DEFAULT_MEMORY_MB
 }
 
+fn default_descriptors() -> u32 {
+    DEFAULT_DESCRIPTORS
+}
+
 impl FleetSettings {
     /// Reads and checks `file`.
     ///
--- /dev/null
+++ b/crates/hornbeamrun/tests/crowds.rs
@@ -0,0 +1,64 @@
+//! Guards against clients that end a process, or keep all others out: each sends a message of legal size, stops just
+//! short of its end and stays connected. Each message is within its own bound, but not their sum.
+
+mod crowd;
+
+use crowd::{API, Crowd, METRICS, READY, Sending, Site, take_turn};
+
+/// Memory of a program according to its settings, in megabytes.
+const MEMORY_MB: u64 = 48;
+const CLIENTS: usize = 300;
+/// Descriptors of a process that are enough for a crowd of this size.
+const MANY_DESCRIPTORS: u32 = 4_096;
+/// Longest body and head that a caller may send.
+const BODY: usize = 256 << 10;
+const HEAD: usize = 16 << 10;
+/// Blanks at the end of a long routing table.
+const TABLE: usize = 1 << 20;
+
+#[yare::parameterized(
+    whole = { Sending::Whole, "PUT /v1/routing", BODY },
+    pieces = { Sending::Pieces, "PUT /v1/routing", BODY },
+    large_chunks = { Sending::LargeChunks, "PUT /v1/routing", BODY },
+    small_chunks = { Sending::SmallChunks, "PUT /v1/routing", BODY },
+    heartbeats = { Sending::Whole, "POST /v1/servers/s1/heartbeat", HEAD },
+    heads = { Sending::Head, "GET /v1/routing", BODY },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn at_api(sending: Sending, line: &str, bytes: usize) {
+    let _turn = take_turn().await;
+    let mut site = Site::start(1, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let crowd = Crowd::gather(CLIENTS, site.controller.at(API), sending, line, bytes).await;
+    let what = format!("{line}, {sending:?}, {} clients", crowd.size());
+    site.check_all_served(2, &what).await;
+    site.controller.check(MEMORY_MB, &what);
+}
+
+#[yare::parameterized(heads = { Sending::Head }, whole = { Sending::Whole })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn at_pages(sending: Sending) {
+    let _turn = take_turn().await;
+    let mut site = Site::start(3, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let ports = [site.entry.at(READY), site.entry.at(METRICS), site.controller.at(METRICS)];
+    let mut crowds = Vec::new();
+    for port in ports {
+        crowds.push(Crowd::gather(CLIENTS, port, sending, "GET /v1/health", BODY).await);
+    }
+    let what = format!("pages, {sending:?}, {} crowds", crowds.len());
+    site.check_all_served(2, &what).await;
+    site.entry.check(MEMORY_MB, &what);
+    site.controller.check(MEMORY_MB, &what);
+}
+
+/// Clients that take no answer to a read of a long routing table.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_tables() {
+    let _turn = take_turn().await;
+    let mut site = Site::start(6, MEMORY_MB, MANY_DESCRIPTORS).await;
+    site.put_padded_table(2, TABLE).await;
+    let line = "GET /v1/routing";
+    let crowd = Crowd::gather(CLIENTS, site.controller.at(API), Sending::Unread, line, 0).await;
+    let what = format!("unread tables, {} clients", crowd.size());
+    site.check_all_served(3, &what).await;
+    site.controller.check(MEMORY_MB, &what);
+}
