Entries bound what all callers' connections hold

Callers saw: an entry that runs out of memory, or that answers nobody until time-outs end, because many clients send bodies and stop short of their end, or connect and send nothing. Cause: the capacity of chunked bodies was twice what was reserved; heads, bytes behind a request and responses that are not taken were not counted; 3,000 connections filled an entry, whatever they did. A full group closes the connection without progress for longest, unless its request is served. Responses that are not taken for a second give way to others. A connection whose request was refused before its end closes half a second later.

--- a/crates/hornbeam_entry/src/caller_stream.rs
+++ b/crates/hornbeam_entry/src/caller_stream.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use hornbeam_model::CallerLimits;
+use hornbeam_node::client_stream::{ClientStream, READ_BYTES};
+use hornbeam_node::pages::{REFUSAL_LINGER, discard};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf, Take};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -21,11 +23,6 @@
 const MIN_HEAD_LIMIT_BYTES: usize = 8 << 10;
 /// Time for which a caller may be silent before a head is complete, whatever the table allows.
 const MIN_HEAD_TIME: Duration = Duration::from_secs(1);
-/// Most bytes taken by one read, which keeps the read buffer of a connection small.
-const READ_BYTES: usize = 16 << 10;
-/// Longest time for which a caller may go on sending after its head was refused, so that closing the
-/// connection does not discard the response.
-const REFUSAL_LINGER: Duration = Duration::from_millis(500);
 const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -40,6 +37,8 @@
     waiting_since: Cell<Option<Instant>>,
     /// True once a head was longer than the limit.
     is_too_long: Cell<bool>,
+    /// True once a request was refused before its body was read.
+    is_unread: Cell<bool>,
 }
 
 impl RequestHead {
@@ -50,6 +49,7 @@
             bytes: Cell::new(Some(0)),
             waiting_since: Cell::new(Some(Instant::now())),
             is_too_long: Cell::new(false),
+            is_unread: Cell::new(false),
         }
     }
 
@@ -60,9 +60,10 @@
     }
 
     /// Records that the connection waits for another request. `read_whole` is false if the body of the
-    /// last one may still arrive; its bytes must not count.
+    /// last one may still arrive; its bytes must not count, and the connection closes.
     pub fn await_next(&self, read_whole: bool) {
         self.bytes.set(read_whole.then_some(0));
+        self.is_unread.set(!read_whole);
         self.waiting_since.set(Some(Instant::now()));
     }
 
@@ -71,12 +72,21 @@
         self.is_too_long.get()
     }
 
-    /// Returns the time by which the head has to be complete. While a request is in flight, it is the
+    /// Returns true once a request was refused before its body was read.
+    pub fn is_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
+    /// Returns the time by which the connection has to close if it is still waiting: after an unread request soon,
+    /// otherwise when the head has to be complete. While a request is in flight, it is the
     /// time for a request that would end now.
     pub fn deadline(&self) -> Instant {
         let limits = self.limits.get().unwrap_or_default();
         let time = |ms| Duration::from_millis(u64::from(ms));
         let since = self.waiting_since.get().unwrap_or_else(Instant::now);
+        if self.is_unread.get() {
+            return since + REFUSAL_LINGER;
+        }
         let stated = time(limits.idle_timeout_ms) + time(limits.header_timeout_ms);
         since + stated.max(MIN_HEAD_TIME)
     }
@@ -97,13 +107,13 @@
 /// A caller's connection.
 #[derive(Debug)]
 pub struct CallerStream {
-    stream: Take<TcpStream>,
+    stream: Take<ClientStream<TcpStream>>,
     head: Rc<RequestHead>,
 }
 
 impl CallerStream {
     /// Applies the limits on request heads to a connection.
-    pub fn new(stream: TcpStream, head: Rc<RequestHead>) -> Self {
+    pub fn new(stream: ClientStream<TcpStream>, head: Rc<RequestHead>) -> Self {
         Self { stream: stream.take(0), head }
     }
 
@@ -116,12 +126,7 @@
         let mut stream = self.stream.into_inner();
         stream.write_all(HEAD_TOO_LONG).await?;
         stream.shutdown().await?;
-        let discard = async {
-            let mut buf = vec![0; READ_BYTES];
-            while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {}
-        };
-        // The connection is closed in either case.
-        let _ = tokio::time::timeout(REFUSAL_LINGER, discard).await;
+        discard(stream).await;
         Ok(())
     }
 }
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -5,14 +5,19 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hornbeam_model::{Fingerprint, QueryId};
+use hornbeam_node::client_stream::ClientStream;
+use hornbeam_node::connections::{Connection, ConnectionGroup};
+use hornbeam_node::pages::discard;
 use hornbeam_node::program::next_connection;
+use hornbeam_node::request_body::{self, BodyError};
 use hornbeam_route::{Refusal, RefusalKind};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -30,11 +35,6 @@
 use crate::numbers::decimal;
 use crate::team_fields;
 
-/// Maximum number of open caller connections.
-const MAX_CONNECTIONS: usize = 3_000;
-/// Longest time in which a request body has to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Lifecycle stage of the entry.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stage {
@@ -48,12 +48,12 @@
     Stopped,
 }
 
-/// Accepts caller connections until [`Stage::Closing`]; `open` counts the connections in progress.
+/// Accepts caller connections until [`Stage::Closing`].
 pub async fn accept(
     core: Rc<Core>,
     listener: TcpListener,
     mut stage: watch::Receiver<Stage>,
-    open: Rc<Cell<usize>>,
+    callers: ConnectionGroup,
 ) {
     loop {
         let stream = tokio::select! {
@@ -63,22 +63,24 @@
                 return;
             }
         };
-        if open.get() >= MAX_CONNECTIONS {
+        let Some(connection) = callers.admit() else {
+            let limit = callers.limit();
             log::warn!(
-                "closing a new caller connection because {MAX_CONNECTIONS} are open: add entries"
+                "closing a new caller connection because the requests of {limit} are in flight: add entries"
             );
             continue;
-        }
-        open.set(open.get() + 1);
-        let (core, stage, open) = (core.clone(), stage.clone(), open.clone());
-        tokio::task::spawn_local(async move {
-            serve(core, stream, stage).await;
-            open.set(open.get() - 1);
-        });
+        };
+        let (core, stage) = (core.clone(), stage.clone());
+        tokio::task::spawn_local(serve(core, stream, Arc::new(connection), stage));
     }
 }
 
-async fn serve(core: Rc<Core>, stream: TcpStream, mut stage: watch::Receiver<Stage>) {
+async fn serve(
+    core: Rc<Core>,
+    stream: TcpStream,
+    connection: Arc<Connection>,
+    mut stage: watch::Receiver<Stage>,
+) {
     // With Nagle's algorithm a short response may wait for the acknowledgment of the previous one.
     if stream.set_nodelay(true).is_err() {
         return;
@@ -87,46 +89,67 @@
     let current_stage = stage.clone();
     let current_head = head.clone();
     let is_first = Cell::new(true);
-    let serving_core = core.clone();
-    let service = service_fn(move |req| {
+    let (serving_core, own) = (core.clone(), connection.clone());
+    let service = service_fn(move |req: Request<Incoming>| {
         let (core, stage, opened) =
             (serving_core.clone(), current_stage.clone(), is_first.replace(false));
-        let head = current_head.clone();
+        let (head, connection) = (current_head.clone(), own.clone());
         head.complete();
+        connection.begin_request(req.body().is_end_stream());
         async move {
-            let (response, read_whole) = handle_request(core, req, opened, stage).await;
-            head.await_next(read_whole);
+            let mut response = handle_request(core, req, &connection, opened, stage).await;
+            connection.begin_response(response.body().size_hint().lower() as usize);
+            connection.await_request();
+            let is_unread = connection.is_unread();
+            if is_unread {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            head.await_next(!is_unread);
             Ok::<_, Infallible>(response)
         }
     });
+    let stream = ClientStream::new(stream, connection);
     // The limits on heads are those of the stream, which may change.
-    let mut connection = http1::Builder::new()
+    let mut http = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(CallerStream::new(stream, head.clone())), service);
     let mut head_timeout = std::pin::pin!(tokio::time::sleep_until(head.deadline()));
-    let mut closing = false;
+    let (mut closing, mut refused) = (false, false);
     loop {
-        let progress = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
+        let progress = poll_fn(|cx| match Pin::new(&mut http).poll(cx) {
             // An error means that the caller violated the protocol or disconnected.
             Poll::Ready(_) => Poll::Ready(ConnectionEnd::Closed),
             Poll::Pending if head.is_too_long() => Poll::Ready(ConnectionEnd::HeadTooLong),
+            Poll::Pending if head.is_unread() && !refused => Poll::Ready(ConnectionEnd::Unread),
             Poll::Pending => Poll::Pending,
         });
         tokio::select! {
             end = progress => {
-                if end == ConnectionEnd::HeadTooLong {
-                    core.record_refused_head();
-                    // The caller may have disconnected.
-                    let _ = connection.into_parts().io.into_inner().refuse_head().await;
+                match end {
+                    ConnectionEnd::Unread => {
+                        refused = true;
+                        head_timeout.as_mut().reset(head.deadline());
+                        continue;
+                    }
+                    ConnectionEnd::HeadTooLong => {
+                        core.record_refused_head();
+                        // The caller may have disconnected.
+                        let _ = http.into_parts().io.into_inner().refuse_head().await;
+                    }
+                    ConnectionEnd::Closed if head.is_unread() => {
+                        discard(http.into_parts().io.into_inner()).await;
+                    }
+                    ConnectionEnd::Closed => {}
                 }
                 return;
             }
             changed = stage.changed(), if !closing => {
                 if changed.is_err() || *stage.borrow() >= Stage::Closing {
-                    Pin::new(&mut connection).graceful_shutdown();
+                    Pin::new(&mut http).graceful_shutdown();
                     closing = true;
                 }
             }
@@ -147,6 +170,8 @@
     Closed,
     /// The caller is not answered yet.
     HeadTooLong,
+    /// The last request was refused before its end. The response may still have to be written.
+    Unread,
 }
 
 /// Informs the core on drop; the core ignores it if the caller already has its reply.
@@ -161,20 +186,20 @@
     }
 }
 
-/// Handles a request; returns its response and whether the request was read to its end.
+/// Handles a request and returns its response.
 async fn handle_request(
     core: Rc<Core>,
     req: Request<Incoming>,
+    connection: &Connection,
     opened_connection: bool,
     mut stage: watch::Receiver<Stage>,
-) -> (Response<Full<Bytes>>, bool) {
+) -> Response<Full<Bytes>> {
     let is_head_request = req.method() == hyper::Method::HEAD;
     let received = tokio::select! {
         biased;
-        received = read_request(&core, req, opened_connection) => received,
+        received = read_request(&core, req, connection, opened_connection) => received,
         _ = stage.wait_for(|s| *s == Stage::Stopped) => Err(refuse_unread(RefusalKind::Draining)),
     };
-    let read_whole = received.is_ok();
     let mut response = match received {
         Ok(received) => {
             let (key, rx) = core.start_request(received);
@@ -195,13 +220,14 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    (response, read_whole)
+    response
 }
 
 /// Reads a complete request, or returns the response that reports the error in it.
 async fn read_request(
     core: &Rc<Core>,
     req: Request<Incoming>,
+    connection: &Connection,
     opened_connection: bool,
 ) -> Result<ReceivedRequest, Response<Full<Bytes>>> {
     let (mut head, body) = req.into_parts();
@@ -231,7 +257,7 @@
             }
         },
     };
-    let body = read_body(core, body).await?;
+    let body = read_body(core, connection, body).await?;
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let path = SmolStr::new(head.uri.path());
     let target = target.to_owned();
@@ -259,70 +285,43 @@
 
 /// Reads a request body within the limits of the table in force, if there is one, and within the memory of
 /// this entry.
-async fn read_body(core: &Core, body: Incoming) -> Result<Bytes, Response<Full<Bytes>>> {
+async fn read_body(
+    core: &Core,
+    connection: &Connection,
+    body: Incoming,
+) -> Result<Bytes, Response<Full<Bytes>>> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
     let limits = core.caller_limits.get();
     let max = limits.unwrap_or_default().max_body_bytes as usize;
-    let too_large = || match limits {
-        Some(_) => closing_response(
+    let error = match request_body::read_body(connection, body, max).await {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
+    };
+    Err(match error {
+        BodyError::TooLong if limits.is_some() => text_response(
             StatusCode::PAYLOAD_TOO_LARGE,
             "the request body is longer than the limit of this entry: shorten it",
         ),
         // The first table may allow it.
-        None => refuse_unread(RefusalKind::NoTable),
-    };
-    if body.size_hint().lower() > max as u64 {
-        return Err(too_large());
-    }
-    match tokio::time::timeout(BODY_TIMEOUT, collect_body(core, body, max)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLong)) => Err(too_large()),
-        Ok(Err(BodyError::NoMemory)) => {
+        BodyError::TooLong => refuse_unread(RefusalKind::NoTable),
+        BodyError::NoRoom => {
             core.record_refused_body();
             let problem = "this entry holds too many large messages: retry at another entry";
-            let mut response = closing_response(StatusCode::SERVICE_UNAVAILABLE, problem);
+            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, problem);
             response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("0"));
-            Err(response)
+            response
         }
-        Ok(Err(BodyError::Invalid)) => Err(closing_response(
+        BodyError::Invalid => text_response(
             StatusCode::BAD_REQUEST,
             "the request body is malformed or incomplete: send it again",
-        )),
-        Err(_) => Err(closing_response(
+        ),
+        BodyError::TimedOut => text_response(
             StatusCode::REQUEST_TIMEOUT,
             "the request body did not arrive within 10 seconds: send it faster",
-        )),
-    }
-}
-
-/// Why a request body is not used.
-enum BodyError {
-    TooLong,
-    /// Nothing has run.
-    NoMemory,
-    Invalid,
-}
-
-async fn collect_body(core: &Core, mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
-    let mut reservation = core.memory.reservation();
-    let stated = body.size_hint().lower().min(max as u64) as usize;
-    if !reservation.try_extend(stated) {
-        return Err(BodyError::NoMemory);
-    }
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| BodyError::Invalid)?.into_data() else { continue };
-        if bytes.len() + data.len() > max {
-            return Err(BodyError::TooLong);
-        }
-        if !reservation.try_extend(bytes.len() + data.len()) {
-            return Err(BodyError::NoMemory);
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(reservation.hold(bytes.freeze()))
+        ),
+    })
 }
 
 fn reply_response(core: &Core, reply: Reply, is_head_request: bool) -> Response<Full<Bytes>> {
@@ -413,14 +412,6 @@
     response
 }
 
-/// Returns a response after which the connection closes, because the request was not read to its
-/// end.
-fn closing_response(status: StatusCode, problem: &'static str) -> Response<Full<Bytes>> {
-    let mut response = text_response(status, problem);
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
 fn text_response(status: StatusCode, problem: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(problem.as_bytes())));
     *response.status_mut() = status;
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -1,6 +1,5 @@
 //! Starts, runs and drains an entry.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -8,7 +7,7 @@
 
 use hornbeam_model::{Mono, TeamUsage};
 use hornbeam_node::clock::Clock;
-use hornbeam_node::connections::{ClientLimits, ClientShare, Connections};
+use hornbeam_node::connections::{ClientLimits, ClientShare, ConnectionGroup, Connections};
 use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
@@ -135,7 +134,13 @@
     let callers = settings.callers.ok_or(ProgramError::Missing { field: "callers" })?;
     let limits = ClientLimits::new(settings.memory_mb, settings.descriptors, CLIENT_SHARE);
     let connections = Connections::new(MemoryBudget::new(limits.memory));
-    let listener = socket::listen(callers, socket::CALLERS).await;
+    let caller_group = connections.group(limits.clients);
+    // Responses that callers do not take hold the memory for others.
+    let reclaimed = connections.clone();
+    core.memory.reclaim_by(move || {
+        reclaimed.displace_unsent();
+    });
+    let listener = socket::listen_for_clients(callers).await;
     let listener = listener.context(BindSnafu { field: "callers", address: callers })?;
     if let Some(address) = settings.ready {
         let pages = ready_pages(&core, stage.clone(), ready_path);
@@ -162,8 +167,7 @@
     log.write("lifecycle", false, &fields);
     let params = FeedParams { settings, file: file.to_owned(), clock, log: log.clone(), tx };
     start_feeds(params, reload, reports, usage)?;
-    let open = Rc::new(Cell::new(0));
-    tokio::task::spawn_local(accept(core.clone(), listener, stage, open.clone()));
+    tokio::task::spawn_local(accept(core.clone(), listener, stage, caller_group.clone()));
     tokio::task::spawn_local(run_timer(core.clone()));
     tokio::task::spawn_local(send_reports(core.clone(), reports_tx));
     tokio::task::spawn_local(send_team_usage(core.clone(), usage_tx));
@@ -186,7 +190,7 @@
     }
     log.write("lifecycle", false, &json!({"lifecycle": "draining"}));
     core.stop_accepting_groups();
-    let drain = drain(&core, &open, &stage_tx, grace);
+    let drain = drain(&core, &caller_group, &stage_tx, grace);
     let mut drain = std::pin::pin!(drain);
     loop {
         tokio::select! {
@@ -300,14 +304,19 @@
 /// Fails the readiness check and closes each connection after its response, so that callers move to
 /// other entries; then accepts no more connections, closes idle ones, and waits until the requests
 /// in flight have their responses.
-async fn drain(core: &Rc<Core>, open: &Cell<usize>, stage: &watch::Sender<Stage>, grace: Duration) {
+async fn drain(
+    core: &Rc<Core>,
+    callers: &ConnectionGroup,
+    stage: &watch::Sender<Stage>,
+    grace: Duration,
+) {
     stage.send_replace(Stage::Draining);
     let started_at = tokio::time::Instant::now();
     let stops_after = grace.saturating_sub(FINAL_RESPONSE_MARGIN);
     core.step(Input::StopAt(core.clock.now() + stops_after));
     tokio::time::sleep(grace * ACCEPT_PERCENT / 100).await;
     stage.send_replace(Stage::Closing);
-    let in_flight = || open.get() + core.group_exchange.gathering_count() > 0;
+    let in_flight = || callers.open() + core.group_exchange.gathering_count() > 0;
     let wait_until = async |end| {
         while in_flight() && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -18,6 +18,7 @@
     Target,
 };
 use hornbeam_node::clock::Clock;
+use hornbeam_node::connections::{ConnectionGroup, Connections};
 use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::structured::StructuredLog;
 use hornbeam_protocol::FrameKey;
@@ -146,6 +147,11 @@
     address
 }
 
+/// Connections that may hold what the core has room for.
+fn group(core: &Rc<Core>) -> ConnectionGroup {
+    Connections::new(core.memory.clone()).group(3_000)
+}
+
 /// Makes `other` known to `origin` as an entry of another zone that gathers groups.
 pub async fn connect_entries(origin: &Rc<Core>, other: &Rc<Core>) {
     other.on_feed_counts(FeedCounts { fresh: 1, prompt: 1, recent: 1, known: 1 });
@@ -164,7 +170,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (tx, stage) = watch::channel(stage);
-    tokio::task::spawn_local(front::accept(core.clone(), listener, stage, Rc::default()));
+    tokio::task::spawn_local(front::accept(core.clone(), listener, stage, group(core)));
     (TcpStream::connect(address).await.unwrap(), tx)
 }
 
--- a/crates/hornbeamrun/tests/crowds.rs
+++ b/crates/hornbeamrun/tests/crowds.rs
@@ -3,13 +3,15 @@
 
 mod crowd;
 
-use crowd::{API, Crowd, METRICS, READY, Sending, Site, take_turn};
+use crowd::{API, CALLERS, Crowd, METRICS, READY, Sending, Site, take_turn};
 
 /// Memory of a program according to its settings, in megabytes.
 const MEMORY_MB: u64 = 48;
 const CLIENTS: usize = 300;
 /// Descriptors of a process that are enough for a crowd of this size.
 const MANY_DESCRIPTORS: u32 = 4_096;
+/// Descriptors that a process without callers may hold.
+const CALM_DESCRIPTORS: usize = 64;
 /// Longest body and head that a caller may send.
 const BODY: usize = 256 << 10;
 const HEAD: usize = 16 << 10;
@@ -34,6 +36,24 @@
     site.controller.check(MEMORY_MB, &what);
 }
 
+#[yare::parameterized(
+    whole = { Sending::Whole, BODY },
+    pieces = { Sending::Pieces, BODY },
+    large_chunks = { Sending::LargeChunks, BODY },
+    small_chunks = { Sending::SmallChunks, BODY },
+    heads = { Sending::Head, HEAD },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn at_callers(sending: Sending, bytes: usize) {
+    let _turn = take_turn().await;
+    let mut site = Site::start(2, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let line = "POST /write/1";
+    let crowd = Crowd::gather(CLIENTS, site.entry.at(CALLERS), sending, line, bytes).await;
+    let what = format!("{line}, {sending:?}, {} clients", crowd.size());
+    site.check_all_served(2, &what).await;
+    site.entry.check(MEMORY_MB, &what);
+}
+
 #[yare::parameterized(heads = { Sending::Head }, whole = { Sending::Whole })]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn at_pages(sending: Sending) {
@@ -62,3 +82,50 @@
     site.check_all_served(3, &what).await;
     site.controller.check(MEMORY_MB, &what);
 }
+
+/// Clients that do not take large answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answers() {
+    let _turn = take_turn().await;
+    let mut site = Site::start(2, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let (to, line) = (site.entry.at(CALLERS), "GET /lookup/large");
+    let crowd = Crowd::gather(CLIENTS, to, Sending::Unread, line, 0).await;
+    let what = format!("unread answers, {} clients", crowd.size());
+    site.check_all_served(2, &what).await;
+    site.entry.check(MEMORY_MB, &what);
+}
+
+/// Bytes that arrive while the request before them is in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn behind_requests() {
+    let _turn = take_turn().await;
+    let mut site = Site::start(2, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let (to, line) = (site.entry.at(CALLERS), "GET /lookup/slow");
+    let crowd = Crowd::gather(CLIENTS, to, Sending::Behind, line, BODY).await;
+    let what = format!("behind requests, {} clients", crowd.size());
+    site.check_all_served(2, &what).await;
+    site.entry.check(MEMORY_MB, &what);
+}
+
+/// Clients that neither send the rest of a refused body nor close.
+#[yare::parameterized(whole = { Sending::Whole }, begun = { Sending::Begun })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn refused_bodies(sending: Sending) {
+    let _turn = take_turn().await;
+    let mut site = Site::start(6, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let ports = [
+        (site.entry.at(CALLERS), "POST /write/1", 2 * BODY),
+        (site.entry.at(READY), "POST /v1/health", BODY),
+        (site.controller.at(API), "POST /v1/servers/s1/heartbeat", BODY),
+    ];
+    let mut crowds = Vec::new();
+    for (port, line, bytes) in ports {
+        crowds.push(Crowd::gather(CLIENTS, port, sending, line, bytes).await);
+    }
+    let what = format!("refused bodies, {sending:?}, {} crowds", crowds.len());
+    site.entry.wait_descriptors(CALM_DESCRIPTORS, &what).await;
+    site.controller.wait_descriptors(CALM_DESCRIPTORS, &what).await;
+    site.check_all_served(2, &what).await;
+    site.entry.check(MEMORY_MB, &what);
+    site.controller.check(MEMORY_MB, &what);
+}
