Instances bound what all their connections hold

Callers saw: `hornbeamrun serve` takes 1.3 GB of the bodies of 300 clients that stop a byte short of 2 MiB, and keeps it. Cause: each body was bounded, not their sum, and no body had to arrive in time. Parsed queries and the copies that attempts send were not counted. Change: new settings memory_mb (512) and descriptors. HTTP connections are a group of hornbeam_node::connections with 40 % of the memory: heads, bodies, their parsed copies and replies until they are taken. Queries that attempts send and replies of servers share 25 %, which was 128 MB before and is that by default. max_body_bytes is at most an eighth of memory_mb.

--- a/crates/hornbeam_node/src/backends.rs
+++ b/crates/hornbeam_node/src/backends.rs
@@ -27,8 +27,8 @@
 
 /// Maximum size of a reply body, in bytes.
 const MAX_REPLY_BYTES: usize = 16 << 20;
-/// Memory for the reply bodies that are being read, in bytes.
-const REPLY_MEMORY_BYTES: usize = 128 << 20;
+/// Memory for replies that are being read and requests that are being sent unless stated otherwise, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 128 << 20;
 /// Time after an attempt's deadline until the wait for its reply ends and its connection closes.
 const REPLY_GRACE: Duration = Duration::from_millis(1_000);
 /// Limit for establishing a connection.
@@ -113,10 +113,17 @@
         prefix: SmolStr,
         results: mpsc::UnboundedSender<AttemptResult>,
     ) -> Self {
-        let memory = MemoryBudget::new(REPLY_MEMORY_BYTES);
+        let memory = MemoryBudget::new(DEFAULT_MEMORY_BYTES);
         Self { clock, prefix, servers: Arc::default(), memory, results }
     }
 
+    /// Sets the memory for replies that are being read and requests that are being sent.
+    #[must_use]
+    pub fn with_memory(mut self, memory: MemoryBudget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Returns the id of an attempt as sent to backend servers.
     pub fn wire_id(&self, attempt: AttemptId) -> SmolStr {
         format_smolstr!("{}.{attempt}", self.prefix)
@@ -176,6 +183,13 @@
         let Some(mut guard) = self.acquire(&attempt.server_id, attempt.address, share) else {
             return (AttemptOutcome::NotSent, false);
         };
+        // Each attempt encodes a copy of the query.
+        let mut copy = self.memory.reservation();
+        let size = attempt.body.get().len().min(copy.largest());
+        let remaining = attempt.deadline.since(self.clock.now());
+        if tokio::time::timeout(remaining, copy.extend(size)).await.is_err() {
+            return (AttemptOutcome::NotSent, false);
+        }
         let now = self.clock.now();
         let remaining = attempt.deadline.since(now);
         let wire_id = self.wire_id(attempt.id);
@@ -183,7 +197,9 @@
         let Some(client) = guard.client.as_ref() else { return (AttemptOutcome::NotSent, false) };
         let url = format!("http://{}/v1/search", attempt.address);
         let call = client.post(url).json(&request).timeout(remaining + REPLY_GRACE).send();
-        match call.await {
+        let sent = call.await;
+        drop(copy);
+        match sent {
             Ok(response) => {
                 let draining = is_draining(&response);
                 let remaining = attempt.deadline.since(self.clock.now());
--- a/crates/hornbeam_node/src/http/announce.rs
+++ b/crates/hornbeam_node/src/http/announce.rs
@@ -29,7 +29,7 @@
 #[async_trait]
 impl Handler for PostAnnounce {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let reply = match read_json::<Announcement>(req, MAX_BODY_BYTES).await {
+        let reply = match read_json::<Announcement>(&self.0, req, MAX_BODY_BYTES).await {
             Ok(announcement) => announce(&self.0, announcement).await,
             Err(reply) => reply,
         };
--- a/crates/hornbeam_node/src/http/app.rs
+++ b/crates/hornbeam_node/src/http/app.rs
@@ -11,6 +11,7 @@
 use reqwest::Client;
 use tokio::sync::Notify;
 
+use super::clients::Clients;
 use super::reply::Reply;
 use crate::clock::Clock;
 use crate::control::ControlHandle;
@@ -45,6 +46,8 @@
     pub forwarder: Client,
     /// Notified when an operator requests a shutdown.
     pub stop: Notify,
+    /// Connections of clients.
+    pub clients: Clients,
     ready: Arc<AtomicBool>,
     draining: AtomicBool,
     next_query_id: AtomicU64,
@@ -80,6 +83,8 @@
     pub metrics: Metrics,
     /// True once a configuration is served.
     pub ready: Arc<AtomicBool>,
+    /// Connections of clients.
+    pub clients: Clients,
 }
 
 /// Context for deriving the key of token tags from the key in the settings.
@@ -111,6 +116,7 @@
             token_key,
             forwarder,
             stop: Notify::new(),
+            clients: params.clients,
             ready: params.ready,
             draining: AtomicBool::new(false),
             next_query_id: AtomicU64::new(1),
--- a/crates/hornbeam_node/src/http/config.rs
+++ b/crates/hornbeam_node/src/http/config.rs
@@ -160,7 +160,7 @@
 }
 
 async fn submit_change(app: &App, req: &mut Request) -> Reply {
-    let body: ChangeBody = match read_json(req, MAX_CHANGE_BYTES).await {
+    let body: ChangeBody = match read_json(app, req, MAX_CHANGE_BYTES).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
@@ -200,7 +200,7 @@
 }
 
 async fn replace_voter(app: &App, req: &mut Request) -> Reply {
-    let body: ReplaceBody = match read_json(req, MAX_CHANGE_BYTES).await {
+    let body: ReplaceBody = match read_json(app, req, MAX_CHANGE_BYTES).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
@@ -270,12 +270,8 @@
             Accepted::No,
         );
     };
-    let params = ForwardParams {
-        to: peer.http,
-        headers: &FORWARDED_HEADERS,
-        max_body: MAX_CHANGE_BYTES,
-        timeout: FORWARD_TIMEOUT,
-    };
+    let params =
+        ForwardParams { to: peer.http, headers: &FORWARDED_HEADERS, timeout: FORWARD_TIMEOUT };
     forward::forward(app, req, &params).await.unwrap_or_else(|e| match e {
         ForwardError::UnreadableBody => {
             unavailable("the request body could not be read: send the request again", Accepted::No)
--- a/crates/hornbeam_node/src/http/forward.rs
+++ b/crates/hornbeam_node/src/http/forward.rs
@@ -6,6 +6,7 @@
 use salvo::http::Request;
 
 use super::app::App;
+use super::body::RequestBody;
 use super::reply::Reply;
 
 /// Header of a forwarded request. Its value is the name of the instance that forwarded it.
@@ -19,8 +20,6 @@
     pub to: SocketAddr,
     /// Names of the request headers to copy.
     pub headers: &'a [&'a str],
-    /// Maximum size of the request body, in bytes.
-    pub max_body: usize,
     /// Limit for the whole exchange, including the response body.
     pub timeout: Duration,
 }
@@ -51,7 +50,7 @@
 /// Returns an error if no complete response arrives. Its kind says whether anything was sent.
 pub async fn forward(
     app: &App,
-    req: &mut Request,
+    req: &Request,
     params: &ForwardParams<'_>,
 ) -> Result<Reply, ForwardError> {
     let url = format!("http://{}{}", params.to, req.uri().path());
@@ -63,8 +62,9 @@
     }
     call = call.header(FORWARDED_BY_HEADER, app.settings.instance.as_str());
     call = call.header("content-type", "application/json");
-    let body = req.payload_with_max_size(params.max_body).await;
-    let body = body.map_err(|_| ForwardError::UnreadableBody)?.to_vec();
+    // It was read before it was known who has to serve the request.
+    let body = req.extensions().get::<RequestBody>().map(|body| body.bytes.clone());
+    let body = body.ok_or(ForwardError::UnreadableBody)?;
     let response = call.body(body).send().await.map_err(|e| match e.is_connect() {
         true => ForwardError::ConnectFailed,
         false => ForwardError::NoResponse,
--- a/crates/hornbeam_node/src/http/mod.rs
+++ b/crates/hornbeam_node/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP routes and handlers of an instance.
 //!
 //! - [`app`]: state that the handlers share
+//! - [`clients`]: connections of clients
 //! - [`body`]: parsing of JSON request bodies within limits
 //! - [`query`]: queries of callers
 //! - [`token`]: tokens that make a request run at most once
@@ -13,6 +14,7 @@
 pub mod announce;
 pub mod app;
 pub mod body;
+pub mod clients;
 pub mod config;
 pub mod forward;
 pub mod operate;
@@ -42,7 +44,10 @@
         .push(config)
         .push(replace);
     let v1 = if app.settings.has_role(Role::Entry) { push_entry_routes(v1, app) } else { v1 };
-    Router::new().push(v1).push(Router::with_path("metrics").get(operate::ShowMetrics(app.clone())))
+    Router::new()
+        .hoop(clients::TrackRequests(app.clients.clone()))
+        .push(v1)
+        .push(Router::with_path("metrics").get(operate::ShowMetrics(app.clone())))
 }
 
 /// Adds the routes for callers and backend servers, which only entries serve.
--- a/crates/hornbeam_node/src/http/query.rs
+++ b/crates/hornbeam_node/src/http/query.rs
@@ -101,7 +101,7 @@
             "Hornbeam-Token requires the header Hornbeam-Non-Idempotent: true: add it",
         ));
     }
-    let body: QueryBody = read_json(req, app.settings.max_body_bytes as usize).await?;
+    let body: QueryBody = read_json(app, req, app.settings.max_body_bytes as usize).await?;
     let request = QueryRequest {
         id,
         request_id,
--- a/crates/hornbeam_node/src/http/token.rs
+++ b/crates/hornbeam_node/src/http/token.rs
@@ -47,7 +47,7 @@
 #[async_trait]
 impl Handler for PostTokens {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let reply = match read_json::<TokensBody>(req, MAX_BODY_BYTES).await {
+        let reply = match read_json::<TokensBody>(&self.0, req, MAX_BODY_BYTES).await {
             Ok(body) => issue_tokens(&self.0, body.count),
             Err(reply) => reply,
         };
@@ -188,12 +188,8 @@
             "the issuer of the token is not a peer of this instance: check whether the request ran",
         );
     };
-    let params = ForwardParams {
-        to: peer.http,
-        headers: &FORWARDED_HEADERS,
-        max_body: app.settings.max_body_bytes as usize,
-        timeout: FORWARD_TIMEOUT,
-    };
+    let params =
+        ForwardParams { to: peer.http, headers: &FORWARDED_HEADERS, timeout: FORWARD_TIMEOUT };
     forward::forward(app, req, &params).await.unwrap_or_else(|e| match e {
         ForwardError::UnreadableBody => {
             unknown_outcome("the request body could not be read: send the request again")
--- a/crates/hornbeam_node/src/node.rs
+++ b/crates/hornbeam_node/src/node.rs
@@ -27,17 +27,24 @@
 
 use crate::backends::Backends;
 use crate::clock::{Clock, unix_us};
+use crate::connections::{ClientLimits, ClientShare, Connections};
 use crate::control::net::{Incoming, Net, NetParams};
 use crate::control::run::LocalStorage;
 use crate::control::{ControlHandle, ControlThread};
 use crate::http::app::{App, AppParams};
+use crate::http::clients::{ClientAcceptor, Clients};
 use crate::journal::EventLog;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::socket;
 use crate::traffic::{TrafficHandle, TrafficMessage, TrafficTask, init_attempt_labels};
 
-/// Maximum number of open HTTP connections.
-const MAX_CONNECTIONS: usize = 16_384;
+/// The part of the process that clients and strangers may take.
+const CLIENT_SHARE: ClientShare = ClientShare { memory_percent: 40, clients_per_mb: 6 };
+/// Percentage of the memory that may hold replies of servers and requests to them.
+const REPLY_MEMORY_PERCENT: usize = 25;
+/// Longest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Number of control log entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 4_096;
 /// Interval at which shutdown checks whether all requests have ended.
@@ -121,6 +128,9 @@
             incarnation,
         });
         let traffic = start_traffic(&settings, clock, incarnation, &events, &metrics);
+        let limits = ClientLimits::new(settings.memory_mb, settings.descriptors, CLIENT_SHARE);
+        let connections = Connections::new(MemoryBudget::new(limits.memory));
+        let clients = Clients::new(connections.group(limits.clients));
         let (control, rx) = ControlHandle::new();
         let ready = Arc::new(AtomicBool::new(false));
         let thread_params = ControlThreadParams {
@@ -142,6 +152,7 @@
             events,
             metrics,
             ready,
+            clients: clients.clone(),
         };
         let app = App::new(params);
         let address = settings.http;
@@ -155,7 +166,9 @@
         if let Err(e) = socket::CALLERS.apply(SockRef::from(acceptor.inner())) {
             log::warn!("cannot set the socket options of callers' connections: {e}");
         }
-        let server = Server::new(acceptor).max_connections(MAX_CONNECTIONS);
+        socket::bound_buffers(SockRef::from(acceptor.inner()));
+        let mut server = Server::new(ClientAcceptor { listener: acceptor, clients });
+        server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
         let handle = server.handle();
         let serving = tokio::spawn(server.serve(crate::http::router(&app)));
         Ok(Self { app, server: handle, serving, control_thread })
@@ -243,10 +256,12 @@
     };
     let (results_tx, results_rx) = mpsc::unbounded_channel();
     let prefix = format_smolstr!("{}.{incarnation}", settings.instance);
+    let memory = (settings.memory_mb as usize) << 20;
+    let memory = MemoryBudget::new(memory / 100 * REPLY_MEMORY_PERCENT);
     let traffic = TrafficTask {
         engine: Engine::new(params, Roster::new(roster)),
         clock,
-        backends: Backends::new(clock, prefix, results_tx),
+        backends: Backends::new(clock, prefix, results_tx).with_memory(memory),
         events: events.clone(),
         metrics: metrics.clone(),
         callers: HashMap::new(),
--- a/crates/hornbeam_node/tests/common/mod.rs
+++ b/crates/hornbeam_node/tests/common/mod.rs
@@ -110,6 +110,8 @@
             voters: self.peers[..voters].iter().map(|p| p.instance.clone()).collect(),
             max_in_flight: 500,
             max_body_bytes: 64 << 10,
+            memory_mb: 512,
+            descriptors: 16_384,
             announce_interval: Duration::from_millis(200),
             lease: Duration::from_millis(2_000),
             config_wait: Duration::from_secs(3),
--- a/crates/hornbeam_settings/src/raw.rs
+++ b/crates/hornbeam_settings/src/raw.rs
@@ -33,6 +33,10 @@
     #[serde(default)]
     pub max_body_bytes: Option<Spanned<u32>>,
     #[serde(default)]
+    pub memory_mb: Option<Spanned<u32>>,
+    #[serde(default)]
+    pub descriptors: Option<Spanned<u32>>,
+    #[serde(default)]
     pub announce_every_ms: Option<Spanned<u64>>,
     #[serde(default)]
     pub lease_ms: Option<Spanned<u64>>,
--- a/crates/hornbeam_settings/src/settings.rs
+++ b/crates/hornbeam_settings/src/settings.rs
@@ -17,6 +17,12 @@
 pub const DEFAULT_MAX_IN_FLIGHT: u32 = 2_000;
 /// Default maximum length of a request body, in bytes.
 pub const DEFAULT_MAX_BODY_BYTES: u32 = 1 << 20;
+/// Default memory of the process, in megabytes.
+pub const DEFAULT_MEMORY_MB: u32 = 512;
+/// Default number of descriptors of the process.
+pub const DEFAULT_DESCRIPTORS: u32 = 16_384;
+/// Part of the memory that the longest request body may take: it is held, parsed and sent to several servers.
+const MAX_BODY_SHARE: u64 = 8;
 /// Default interval between two announcements of a backend server, in milliseconds.
 pub const DEFAULT_ANNOUNCE_INTERVAL_MS: u64 = 500;
 /// Default lease that an announcement grants, in milliseconds.
@@ -80,8 +86,13 @@
     pub voters: Vec<InstanceId>,
     /// Limit on the queries that run at the same time.
     pub max_in_flight: u32,
-    /// Maximum length of a request body, in bytes.
+    /// Maximum length of a request body, in bytes; at most an eighth of the memory.
     pub max_body_bytes: u32,
+    /// Memory of the process, in megabytes, which bounds what clients may make it hold.
+    pub memory_mb: u32,
+    /// Descriptors of the process, which bound the number of connections. The limit of the operating system holds
+    /// as well.
+    pub descriptors: u32,
     /// Interval between two announcements of a backend server.
     pub announce_interval: Duration,
     /// Lease that an announcement grants.
@@ -190,6 +201,15 @@
             1_024,
             1 << 26,
         )?;
+        let memory = self.number("memory_mb", &raw.memory_mb, DEFAULT_MEMORY_MB, 64, 1 << 20)?;
+        let too_long = u64::from(body) * MAX_BODY_SHARE > u64::from(memory) << 20;
+        if too_long && let Some(at) = raw.max_body_bytes.as_ref().or(raw.memory_mb.as_ref()) {
+            let remedy = "raise memory_mb or lower max_body_bytes";
+            let problem = "more than an eighth of memory_mb";
+            return Err(self.value_error(at, "max_body_bytes", problem, remedy));
+        }
+        let descriptors =
+            self.number("descriptors", &raw.descriptors, DEFAULT_DESCRIPTORS, 128, 1 << 24)?;
         let threads =
             self.number("traffic_threads", &raw.traffic_threads, DEFAULT_TRAFFIC_THREADS, 1, 64)?;
         let operator_token = match &raw.operator_token_file {
@@ -209,6 +229,8 @@
             voters,
             max_in_flight: in_flight,
             max_body_bytes: body,
+            memory_mb: memory,
+            descriptors,
             announce_interval: Duration::from_millis(announce_ms),
             lease: Duration::from_millis(lease_ms),
             config_wait: Duration::from_millis(wait_ms),
--- a/crates/hornbeamrun/src/demo.rs
+++ b/crates/hornbeamrun/src/demo.rs
@@ -142,6 +142,8 @@
         voters: instances.iter().map(|p| p.instance.clone()).collect(),
         max_in_flight: 200,
         max_body_bytes: 1 << 20,
+        memory_mb: 512,
+        descriptors: 16_384,
         announce_interval: Duration::from_millis(500),
         lease: Duration::from_millis(2_000),
         config_wait: Duration::from_millis(1_000),
--- a/crates/hornbeamrun/tests/crowds.rs
+++ b/crates/hornbeamrun/tests/crowds.rs
@@ -3,10 +3,12 @@
 
 mod crowd;
 
-use crowd::{API, CALLERS, Crowd, METRICS, READY, Sending, Site, take_turn};
+use crowd::{API, CALLERS, Crowd, Instance, METRICS, READY, Sending, Site, take_turn};
 
 /// Memory of a program according to its settings, in megabytes.
 const MEMORY_MB: u64 = 48;
+/// Memory of an instance that its settings do not name, in megabytes.
+const INSTANCE_MEMORY_MB: u64 = 512;
 const CLIENTS: usize = 300;
 /// Descriptors of a process that are enough for a crowd of this size.
 const MANY_DESCRIPTORS: u32 = 4_096;
@@ -17,6 +19,8 @@
 const HEAD: usize = 16 << 10;
 /// Blanks at the end of a long routing table.
 const TABLE: usize = 1 << 20;
+/// Longest body of a query to an instance according to its settings.
+const QUERY: usize = 2 << 20;
 
 #[yare::parameterized(
     whole = { Sending::Whole, "PUT /v1/routing", BODY },
@@ -129,3 +133,23 @@
     site.entry.check(MEMORY_MB, &what);
     site.controller.check(MEMORY_MB, &what);
 }
+
+#[yare::parameterized(
+    whole = { Sending::Whole, QUERY },
+    pieces = { Sending::Pieces, QUERY },
+    large_chunks = { Sending::LargeChunks, QUERY },
+    small_chunks = { Sending::SmallChunks, QUERY },
+    heads = { Sending::Head, HEAD },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn at_instance(sending: Sending, bytes: usize) {
+    let _turn = take_turn().await;
+    let more = format!("max_body_bytes: {QUERY}\n");
+    let mut instance = Instance::start(7, MANY_DESCRIPTORS, &more).await;
+    let to = instance.process.at(CALLERS);
+    let line = "POST /v1/services/planner/query";
+    let crowd = Crowd::gather(CLIENTS, to, sending, line, bytes).await;
+    let what = format!("instance, {sending:?}, {} clients", crowd.size());
+    instance.check_all_served("second", 1, &what).await;
+    instance.process.check(INSTANCE_MEMORY_MB, &what);
+}
