Ports between programs bound what strangers make them hold

Callers saw: nothing gets through to programs whose descriptors or streams are taken by connections that send nothing, and a program runs out of memory for frames that no key authenticates. Cause: an entry read up to 256 KiB, a controller up to 16 MiB a stream before it was known who speaks, on any number of connections; 512 silent streams kept out other controllers. Change: a connection is one of a group of strangers until its first frame shows the key; the group is bounded in number and by the memory for clients, and the stranger without progress for longest gives way. The first message to an entry is at most 8 KiB and has five seconds; it has always been a short one.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use hornbeam_model::{CrashReport, RateReport, RequestRate, TableVersion, UsageReport};
-use hornbeam_node::frames::{read_frame, write_frame};
+use hornbeam_node::connections::{Connection, ConnectionGroup};
+use hornbeam_node::frames::{read_first_frame, read_frame, write_frame};
 use hornbeam_node::program::next_connection;
 use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
@@ -58,6 +59,7 @@
 /// Fails if the address cannot be bound.
 pub async fn listen(
     address: SocketAddr,
+    strangers: ConnectionGroup,
     key: FrameKey,
     tx: mpsc::UnboundedSender<FeedEvent>,
 ) -> std::io::Result<()> {
@@ -66,10 +68,12 @@
         let mut next: FeedId = 1;
         loop {
             let stream = next_connection(&listener).await;
+            // Strangers always give way.
+            let Some(connection) = strangers.admit() else { continue };
             let (key, tx, id) = (key.clone(), tx.clone(), next);
             next += 1;
             tokio::task::spawn_local(async move {
-                serve(stream, &key, &tx, id).await;
+                serve(stream, connection, &key, &tx, id).await;
                 // The controller loop ends only with the process.
                 let _ = tx.send(FeedEvent::Closed(id));
             });
@@ -80,6 +84,7 @@
 
 async fn serve(
     stream: TcpStream,
+    connection: Connection,
     key: &FrameKey,
     tx: &mpsc::UnboundedSender<FeedEvent>,
     id: FeedId,
@@ -98,20 +103,33 @@
         }
     };
     tokio::select! {
-        () = receive_frames(&mut read, key, tx, id, frames) => {}
+        () = receive_frames(&mut read, connection, key, tx, id, frames) => {}
         () = send_frames => {}
     }
 }
 
+/// Passes on the messages of an entry until the stream ends or a frame is invalid. The first valid one shows that an
+/// entry speaks.
 async fn receive_frames<R: AsyncRead + Unpin>(
     stream: &mut R,
+    connection: Connection,
     key: &FrameKey,
     tx: &mpsc::UnboundedSender<FeedEvent>,
     id: FeedId,
     frames: FeedSender,
 ) {
+    let mut stranger = Some(connection);
     loop {
-        let frame = read_frame(stream, MAX_ENTRY_FRAME_BYTES, FEED_TIMEOUT);
+        let frame = async {
+            let max = MAX_ENTRY_FRAME_BYTES;
+            match &stranger {
+                Some(connection) => {
+                    let read = read_first_frame(stream, max, FEED_TIMEOUT, connection).await?;
+                    Ok(read.0)
+                }
+                None => read_frame(stream, max, FEED_TIMEOUT).await,
+            }
+        };
         let Ok(Ok(frame)) = tokio::time::timeout(FEED_TIMEOUT, frame).await else { return };
         let (message, features) = match key.open_with(&frame, MAX_ENTRY_FRAME_BYTES) {
             Ok(opened) => opened,
@@ -119,6 +137,7 @@
                 return log::warn!("closed the feed of an entry because of an invalid frame: {e}");
             }
         };
+        stranger = None;
         let message = match message {
             FeedUp::Follow(info) => {
                 FeedEvent::Follow(id, info, features.unwrap_or_default(), frames.clone())
--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -7,7 +7,7 @@
 
 use hornbeam_model::Routing;
 use hornbeam_node::clock::{Clock, unix_us};
-use hornbeam_node::connections::{ClientLimits, ClientShare, Connections};
+use hornbeam_node::connections::{ClientLimits, ClientShare, ConnectionGroup, Connections};
 use hornbeam_node::control::net::{Incoming, Net, NetParams};
 use hornbeam_node::journal::EventLog;
 use hornbeam_node::memory::MemoryBudget;
@@ -70,8 +70,9 @@
     let (request_tx, requests) = mpsc::unbounded_channel();
     let (reload_tx, reload) = mpsc::unbounded_channel();
     let (shutdown_tx, shutdown) = mpsc::unbounded_channel();
+    let strangers = || connections.group(limits.strangers);
     let (controller, incoming, feed_events) =
-        build(&settings, file, &me, dialect.parse_table, &log, &metrics).await?;
+        build(&settings, file, &me, dialect.parse_table, &log, (&metrics, strangers)).await?;
     let inputs = Inputs { requests, feed_events, incoming, reload, shutdown };
     let address_of = Box::new(move |name: &_| settings.api_address(name));
     let api = Rc::new(Api::new(dialect, request_tx, address_of));
@@ -104,7 +105,7 @@
     me: &hornbeam_model::InstanceId,
     parse_table: fn(&[u8]) -> Result<Routing, String>,
     log: &StructuredLog,
-    metrics: &Metrics,
+    (metrics, strangers): (&Metrics, impl Fn() -> ConnectionGroup),
 ) -> Result<(Controller, Incoming, mpsc::UnboundedReceiver<FeedEvent>), ProgramError> {
     let clock = Clock::start();
     let events = EventLog::new(settings.instance.clone());
@@ -121,11 +122,12 @@
         addresses: HashMap::new(),
         metrics: hornbeam_node::metrics::Metrics::default(),
         events: events.clone(),
+        strangers: strangers(),
     };
     let opened = Net::open(net).await;
     let (net, incoming) = opened.context(BindSnafu { field: "inner_port", address: control })?;
     let (feed_tx, feed_events) = mpsc::unbounded_channel();
-    let listening = crate::feed::listen(feed, key, feed_tx).await;
+    let listening = crate::feed::listen(feed, strangers(), key, feed_tx).await;
     listening.context(BindSnafu { field: "inner_port", address: feed })?;
     let controller = Controller::new(ControllerParams {
         parse_table,
--- a/crates/hornbeam_controller/tests/zone_orders.rs
+++ b/crates/hornbeam_controller/tests/zone_orders.rs
@@ -68,11 +68,12 @@
         addresses: HashMap::new(),
         metrics: hornbeam_node::metrics::Metrics::default(),
         events: events.clone(),
+        strangers: group(),
     };
     let (net, incoming) = Net::open(net).await.unwrap();
     let (feed_tx, feed_events) = mpsc::unbounded_channel();
     let feed = settings.feed_address(&me).unwrap();
-    hornbeam_controller::feed::listen(feed, key, feed_tx).await.unwrap();
+    hornbeam_controller::feed::listen(feed, group(), key, feed_tx).await.unwrap();
     let (tx, requests) = mpsc::unbounded_channel();
     let dialect = Dialect::default();
     let api_address = settings.api.unwrap();
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use hornbeam_model::{AttemptId, InstanceId, QueryId};
+use hornbeam_node::connections::{Connection, ConnectionGroup};
 use hornbeam_node::program::next_connection;
 use hornbeam_node::socket;
 use hornbeam_protocol::FrameKey;
@@ -393,9 +394,11 @@
 }
 
 /// Accepts connections of other entries, which delegate groups to this one.
-pub async fn accept(core: Rc<Core>, listener: TcpListener) {
+pub async fn accept(core: Rc<Core>, listener: TcpListener, strangers: ConnectionGroup) {
     loop {
         let stream = next_connection(&listener).await;
+        // Strangers always give way.
+        let Some(stranger) = strangers.admit() else { continue };
         let key = core.group_exchange.key.clone();
         let connection = match PeerConnection::new(stream, key, &core.memory) {
             Ok(connection) => Rc::new(connection),
@@ -407,14 +410,19 @@
             }
         };
         let core = core.clone();
-        tokio::task::spawn_local(async move { serve(&core, connection).await });
+        tokio::task::spawn_local(async move { serve(&core, connection, stranger).await });
     }
 }
 
-async fn serve(core: &Rc<Core>, connection: Rc<PeerConnection>) {
+async fn serve(core: &Rc<Core>, connection: Rc<PeerConnection>, stranger: Connection) {
     let exchange = &core.group_exchange;
+    let first = match connection.authenticate(stranger).await {
+        Ok(first) => first,
+        Err(e) => return log::warn!("closed a connection to the inner port: {e}"),
+    };
     exchange.incoming.borrow_mut().push(connection.clone());
-    let end = connection.run(|batch: Vec<GatherUp>| handle_batch(core, &connection, batch)).await;
+    let handle = |batch: Vec<GatherUp>| handle_batch(core, &connection, batch);
+    let end = connection.run_from(first, handle).await;
     if end.kind() != std::io::ErrorKind::UnexpectedEof {
         log::warn!("the connection of another entry failed: {end}");
     }
--- a/crates/hornbeam_entry/src/peer_connection.rs
+++ b/crates/hornbeam_entry/src/peer_connection.rs
@@ -6,8 +6,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
+use hornbeam_node::connections::Connection;
 use hornbeam_node::frames::length_prefixed;
 use hornbeam_node::memory::{MemoryBudget, Reservation};
 use hornbeam_protocol::FrameKey;
@@ -26,8 +28,10 @@
 const LARGE_MESSAGE_BYTES: usize = 256 << 10;
 /// Bytes that are read before the messages in them are handled, unless a longer one is incomplete.
 const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES + MAX_PENDING_BYTES;
-/// Buffer capacity reserved for one read, in bytes.
+/// Buffer capacity reserved for one read, in bytes; also the longest first message of a connection.
 const READ_BYTES: usize = 8 << 10;
+/// Longest time in which a connection that was accepted has to show the key. Its first message is short.
+const AUTHENTICATION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Bytes that the socket has not accepted yet.
 struct Pending {
@@ -114,11 +118,66 @@
         self.wake.notify_one();
     }
 
+    /// Reads the start of a connection that was accepted until it shows the key with a complete message. Returns
+    /// what has been read. `stranger` may have to give way until then.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ends or has to give way, if the first message is longer than
+    /// [`READ_BYTES`], does not arrive in time or does not have the key.
+    pub async fn authenticate(&self, stranger: Connection) -> io::Result<BytesMut> {
+        let mut buf = BytesMut::with_capacity(READ_BYTES);
+        let read = async {
+            loop {
+                self.stream.readable().await?;
+                let room = READ_BYTES.saturating_sub(buf.len());
+                match self.stream.try_read_buf(&mut (&mut buf).limit(room)) {
+                    Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof)),
+                    Ok(read) => stranger.record_bytes(read),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                    Err(e) => return Err(e),
+                }
+                let Some(length) = buf.first_chunk::<4>() else { continue };
+                let length = u32::from_le_bytes(*length) as usize;
+                if length > READ_BYTES - 4 {
+                    return Err(io::Error::other("the first message is too long"));
+                }
+                if let Some(frame) = buf.get(4..4 + length) {
+                    self.key.check(frame, READ_BYTES).map_err(io::Error::other)?;
+                    return Ok(());
+                }
+            }
+        };
+        tokio::select! {
+            read = tokio::time::timeout(AUTHENTICATION_TIMEOUT, read) => {
+                read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            }
+            () = stranger.displaced() => return Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+        Ok(buf)
+    }
+
     /// Reads and writes messages until the connection ends and passes each received batch to
     /// `handle`.
-    pub async fn run<T: DeserializeOwned>(&self, mut handle: impl FnMut(Vec<T>)) -> io::Error {
-        let mut buf = BytesMut::with_capacity(READ_BYTES);
+    pub async fn run<T: DeserializeOwned>(&self, handle: impl FnMut(Vec<T>)) -> io::Error {
+        self.run_from(BytesMut::with_capacity(READ_BYTES), handle).await
+    }
+
+    /// Does the same after `buf` has been read.
+    pub async fn run_from<T: DeserializeOwned>(
+        &self,
+        mut buf: BytesMut,
+        mut handle: impl FnMut(Vec<T>),
+    ) -> io::Error {
         let mut reservation = self.memory.reservation();
+        if !buf.is_empty() {
+            // A failure shows again at the next read.
+            let _ = self.read(&mut buf, &mut reservation);
+            match self.decode(&mut buf) {
+                Ok(batch) => handle(batch),
+                Err(e) => return e,
+            }
+        }
         // Size of an incomplete message for which there is no room yet.
         let mut lacking = None;
         loop {
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -157,7 +157,8 @@
     let group_listener = socket::listen(inner, socket::PEERS).await;
     let group_listener =
         group_listener.context(BindSnafu { field: "inner_port", address: inner })?;
-    tokio::task::spawn_local(group_exchange::accept(core.clone(), group_listener));
+    let strangers = connections.group(limits.strangers);
+    tokio::task::spawn_local(group_exchange::accept(core.clone(), group_listener, strangers));
     let (reload_tx, reload) = mpsc::unbounded_channel();
     let (reports_tx, reports) = mpsc::unbounded_channel();
     let (usage_tx, usage) = mpsc::unbounded_channel();
--- a/crates/hornbeam_entry/tests/common/mod.rs
+++ b/crates/hornbeam_entry/tests/common/mod.rs
@@ -161,7 +161,7 @@
         address: listener.local_addr().unwrap(),
         zone: "prerov".parse().unwrap(),
     };
-    tokio::task::spawn_local(group_exchange::accept(other.clone(), listener));
+    tokio::task::spawn_local(group_exchange::accept(other.clone(), listener, group(other)));
     origin.step(Input::Peers(vec![peer]));
 }
 
--- a/crates/hornbeam_node/src/control/net.rs
+++ b/crates/hornbeam_node/src/control/net.rs
@@ -21,17 +21,17 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 
-use crate::frames::{read_frame, write_frame};
+use crate::connections::{Connection, ConnectionGroup};
+use crate::frames::{read_first_frame, read_frame, write_frame};
 use crate::journal::EventLog;
 use crate::metrics::Metrics;
+use crate::program::next_connection;
 use crate::socket;
 
 /// Maximum size of a frame that is sent as a datagram, in bytes. It fits into one packet.
 const MAX_SENT_DATAGRAM_BYTES: usize = 1_400;
 /// Maximum number of frames queued for one stream; further ones are dropped.
 const MAX_QUEUED_FRAMES: usize = 64;
-/// Maximum number of open incoming streams.
-const MAX_STREAMS: usize = 512;
 /// Limit for opening a stream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit for the arrival of a frame after its length.
@@ -101,6 +101,8 @@
     pub metrics: Metrics,
     /// Journal for events about rejected frames.
     pub events: EventLog,
+    /// Incoming streams that have not shown the key yet.
+    pub strangers: ConnectionGroup,
 }
 
 impl Net {
@@ -125,7 +127,7 @@
             last_event_at: RefCell::default(),
         });
         tokio::task::spawn_local(receive_datagrams(udp.clone(), receiver.clone()));
-        tokio::task::spawn_local(accept_streams(listener, receiver));
+        tokio::task::spawn_local(accept_streams(listener, params.strangers, receiver));
         let net = Self {
             key: params.key,
             me: params.me,
@@ -249,27 +251,33 @@
     }
 }
 
-async fn accept_streams(listener: TcpListener, receiver: Rc<Receiver>) {
-    let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_STREAMS));
+async fn accept_streams(listener: TcpListener, strangers: ConnectionGroup, receiver: Rc<Receiver>) {
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let receiver = receiver.clone();
-                tokio::task::spawn_local(async move {
-                    read_stream(stream, &receiver).await;
-                    drop(permit);
-                });
-            }
-            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
-        }
+        let stream = next_connection(&listener).await;
+        // Strangers always give way.
+        let Some(connection) = strangers.admit() else { continue };
+        let receiver = receiver.clone();
+        tokio::task::spawn_local(async move { read_stream(stream, connection, &receiver).await });
     }
 }
 
-/// Reads frames until the stream ends or a frame is rejected.
-async fn read_stream(mut stream: TcpStream, receiver: &Receiver) {
+/// Reads frames until the stream ends or a frame is rejected. The first one that is accepted shows that another
+/// instance speaks.
+async fn read_stream(mut stream: TcpStream, connection: Connection, receiver: &Receiver) {
+    let mut stranger = Some(connection);
     loop {
-        let frame = match read_frame(&mut stream, MAX_STREAM_BYTES, FRAME_TIMEOUT).await {
+        let frame = match &stranger {
+            Some(connection) => {
+                let read =
+                    read_first_frame(&mut stream, MAX_STREAM_BYTES, FRAME_TIMEOUT, connection);
+                read.await.map(|(frame, reservation)| (frame, Some(reservation)))
+            }
+            None => {
+                let read = read_frame(&mut stream, MAX_STREAM_BYTES, FRAME_TIMEOUT);
+                read.await.map(|frame| (frame, None))
+            }
+        };
+        let (frame, _reservation) = match frame {
             Ok(frame) => frame,
             Err(e) => {
                 if e.kind() == std::io::ErrorKind::InvalidData {
@@ -281,6 +289,7 @@
         if !receiver.handle_frame(&frame, MAX_STREAM_BYTES) {
             return;
         }
+        stranger = None;
     }
 }
 
--- a/crates/hornbeam_node/src/node.rs
+++ b/crates/hornbeam_node/src/node.rs
@@ -27,7 +27,7 @@
 
 use crate::backends::Backends;
 use crate::clock::{Clock, unix_us};
-use crate::connections::{ClientLimits, ClientShare, Connections};
+use crate::connections::{ClientLimits, ClientShare, ConnectionGroup, Connections};
 use crate::control::net::{Incoming, Net, NetParams};
 use crate::control::run::LocalStorage;
 use crate::control::{ControlHandle, ControlThread};
@@ -141,6 +141,7 @@
             events: events.clone(),
             metrics: metrics.clone(),
             ready: ready.clone(),
+            strangers: connections.group(limits.strangers),
         };
         let control_thread = start_control(thread_params, rx).await?;
         let params = AppParams {
@@ -280,6 +281,7 @@
     events: EventLog,
     metrics: Metrics,
     ready: Arc<AtomicBool>,
+    strangers: ConnectionGroup,
 }
 
 async fn start_control(
@@ -335,6 +337,7 @@
         addresses: s.peers.iter().map(|p| (p.instance.clone(), p.inner)).collect(),
         metrics: params.metrics.clone(),
         events: params.events.clone(),
+        strangers: params.strangers,
     };
     let address = s.inner;
     let opened = Net::open(net).await;
--- a/crates/hornbeam_protocol/src/frame.rs
+++ b/crates/hornbeam_protocol/src/frame.rs
@@ -157,6 +157,15 @@
         postcard::from_bytes(self.authenticate(frame, max)?).map_err(|_| FrameError::Body)
     }
 
+    /// Authenticates a frame of at most `max` bytes without decoding it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the length is out of range, the protocol version differs or authentication fails.
+    pub fn check(&self, frame: &[u8], max: usize) -> Result<(), FrameError> {
+        self.authenticate(frame, max).map(drop)
+    }
+
     /// Returns the body of a frame whose length, version and hash are valid.
     fn authenticate<'a>(&self, frame: &'a [u8], max: usize) -> Result<&'a [u8], FrameError> {
         if frame.len() <= HEADER_BYTES || frame.len() > max {
--- a/crates/hornbeamrun/tests/crowds.rs
+++ b/crates/hornbeamrun/tests/crowds.rs
@@ -3,7 +3,7 @@
 
 mod crowd;
 
-use crowd::{API, CALLERS, Crowd, Instance, METRICS, READY, Sending, Site, take_turn};
+use crowd::{API, CALLERS, Crowd, INNER, Instance, METRICS, READY, Sending, Site, take_turn};
 
 /// Memory of a program according to its settings, in megabytes.
 const MEMORY_MB: u64 = 48;
@@ -12,6 +12,8 @@
 const CLIENTS: usize = 300;
 /// Descriptors of a process that are enough for a crowd of this size.
 const MANY_DESCRIPTORS: u32 = 4_096;
+/// Descriptors of a process that are not.
+const FEW_DESCRIPTORS: u32 = 256;
 /// Descriptors that a process without callers may hold.
 const CALM_DESCRIPTORS: usize = 64;
 /// Longest body and head that a caller may send.
@@ -74,6 +76,52 @@
     site.controller.check(MEMORY_MB, &what);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn between_programs() {
+    let _turn = take_turn().await;
+    let mut site = Site::start(4, MEMORY_MB, MANY_DESCRIPTORS).await;
+    let ports = [
+        (site.entry.at(INNER), BODY),
+        (site.controller.at(INNER), 64 << 10),
+        (site.controller.at(INNER + 1), BODY),
+    ];
+    let mut crowds = Vec::new();
+    for (port, bytes) in ports {
+        crowds.push(Crowd::gather(CLIENTS, port, Sending::Frame, "", bytes).await);
+    }
+    let what = format!("frames, {} crowds", crowds.len());
+    site.check_all_served(2, &what).await;
+    site.check_new_entry(&what).await;
+    site.entry.check(MEMORY_MB, &what);
+    site.controller.check(MEMORY_MB, &what);
+}
+
+/// More silent connections than the process has descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent() {
+    let _turn = take_turn().await;
+    let mut site = Site::start(5, MEMORY_MB, FEW_DESCRIPTORS).await;
+    let ports = [
+        site.entry.at(CALLERS),
+        site.entry.at(READY),
+        site.entry.at(METRICS),
+        site.entry.at(INNER),
+        site.controller.at(API),
+        site.controller.at(METRICS),
+        site.controller.at(INNER),
+        site.controller.at(INNER + 1),
+    ];
+    let mut crowds = Vec::new();
+    for port in ports {
+        crowds.push(Crowd::gather(CLIENTS, port, Sending::Silent, "", 0).await);
+    }
+    let what = format!("silent, {} crowds", crowds.len());
+    site.check_all_served(2, &what).await;
+    site.check_new_entry(&what).await;
+    site.entry.check(MEMORY_MB, &what);
+    site.controller.check(MEMORY_MB, &what);
+}
+
 /// Clients that take no answer to a read of a long routing table.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_tables() {
@@ -153,3 +201,29 @@
     instance.check_all_served("second", 1, &what).await;
     instance.process.check(INSTANCE_MEMORY_MB, &what);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn between_instances() {
+    let _turn = take_turn().await;
+    let mut instance = Instance::start(8, MANY_DESCRIPTORS, "").await;
+    let to = instance.process.at(INNER);
+    let crowd = Crowd::gather(CLIENTS, to, Sending::Frame, "", QUERY).await;
+    let what = format!("instance, frames, {} clients", crowd.size());
+    instance.check_all_served("second", 1, &what).await;
+    instance.process.check(INSTANCE_MEMORY_MB, &what);
+}
+
+/// More silent connections than the instance has descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_at_instance() {
+    let _turn = take_turn().await;
+    let mut instance = Instance::start(9, FEW_DESCRIPTORS, "").await;
+    let mut crowds = Vec::new();
+    for port in [CALLERS, INNER] {
+        let to = instance.process.at(port);
+        crowds.push(Crowd::gather(CLIENTS, to, Sending::Silent, "", 0).await);
+    }
+    let what = format!("silent, {} crowds", crowds.len());
+    instance.check_all_served("second", 1, &what).await;
+    instance.process.check(INSTANCE_MEMORY_MB, &what);
+}
