Clients that connect again at once do not keep out others

Callers saw: 300 clients that connect again whenever they are closed keep heartbeats, health checks and operators out of programs with 256 descriptors, although a full group makes room. Cause: 128 connections could wait to be accepted, so opening packets were dropped and sent again after a second; and a connection could be displaced before its client's request was read. Change: 1,024 may wait. A connection is displaced for a new one after ten milliseconds without progress at the earliest, and one a millisecond of a group at the most, which also bounds the processor time that such clients cost.

--- a/crates/hornbeam_controller/src/feed.rs
+++ b/crates/hornbeam_controller/src/feed.rs
@@ -69,7 +69,7 @@
         loop {
             let stream = next_connection(&listener).await;
             // Strangers always give way.
-            let Some(connection) = strangers.admit() else { continue };
+            let Some(connection) = strangers.admit().await else { continue };
             let (key, tx, id) = (key.clone(), tx.clone(), next);
             next += 1;
             tokio::task::spawn_local(async move {
--- a/crates/hornbeam_entry/src/front.rs
+++ b/crates/hornbeam_entry/src/front.rs
@@ -63,7 +63,7 @@
                 return;
             }
         };
-        let Some(connection) = callers.admit() else {
+        let Some(connection) = callers.admit().await else {
             let limit = callers.limit();
             log::warn!(
                 "closing a new caller connection because the requests of {limit} are in flight: add entries"
--- a/crates/hornbeam_entry/src/group_exchange.rs
+++ b/crates/hornbeam_entry/src/group_exchange.rs
@@ -398,7 +398,7 @@
     loop {
         let stream = next_connection(&listener).await;
         // Strangers always give way.
-        let Some(stranger) = strangers.admit() else { continue };
+        let Some(stranger) = strangers.admit().await else { continue };
         let key = core.group_exchange.key.clone();
         let connection = match PeerConnection::new(stream, key, &core.memory) {
             Ok(connection) => Rc::new(connection),
@@ -418,7 +418,7 @@
     let exchange = &core.group_exchange;
     let first = match connection.authenticate(stranger).await {
         Ok(first) => first,
-        Err(e) => return log::warn!("closed a connection to the inner port: {e}"),
+        Err(e) => return log::debug!("closed a connection to the inner port: {e}"),
     };
     exchange.incoming.borrow_mut().push(connection.clone());
     let handle = |batch: Vec<GatherUp>| handle_batch(core, &connection, batch);
--- a/crates/hornbeam_node/src/connections.rs
+++ b/crates/hornbeam_node/src/connections.rs
@@ -30,6 +30,12 @@
 const MIN_STALL: Duration = Duration::from_millis(250);
 /// The same for a connection whose client does not take its response. Ready responses are worth more patience.
 const MIN_UNSENT_STALL: Duration = Duration::from_secs(1);
+/// Time without progress after which a connection may have to make room for a new one. A client whose connection was
+/// accepted has to get the chance to send its request, also while others connect all the time.
+const MIN_SILENCE: Duration = Duration::from_millis(10);
+/// Time between two connections that are closed for new ones of a group. Clients that connect again whenever they are
+/// closed must not use up the processor.
+const DISPLACEMENT_INTERVAL: Duration = Duration::from_millis(1);
 /// Longest wait for the memory of a connection that was closed, before another one is.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(10);
 
@@ -143,16 +149,26 @@
         self.started_at.elapsed().as_micros() as u64
     }
 
-    /// Closes the connection among those that `may_close` selects that has made no progress for longest. Returns
-    /// false if there is none.
-    fn displace(&self, open: &mut OpenConnections, may_close: impl Fn(&Slot) -> bool) -> bool {
+    /// Closes the connection among those that `may_close` selects that has made no progress for longest, unless that
+    /// is less than `silence`.
+    fn displace(
+        &self,
+        open: &mut OpenConnections,
+        silence: Duration,
+        may_close: impl Fn(&Slot) -> bool,
+    ) -> Displacement {
         let candidates = open.slots.values().filter(|s| s.may_give_way() && may_close(s));
         let oldest = candidates.min_by_key(|s| s.progress_us.load(Ordering::Relaxed)).cloned();
-        let Some(slot) = oldest else { return false };
+        let Some(slot) = oldest else { return Displacement::None };
+        let silent_us = self.now_us().saturating_sub(slot.progress_us.load(Ordering::Relaxed));
+        let left = silence.saturating_sub(Duration::from_micros(silent_us));
+        if !left.is_zero() {
+            return Displacement::In(left);
+        }
         open.slots.swap_remove(&slot.key);
         slot.displace();
         self.displaced.fetch_add(1, Ordering::Relaxed);
-        true
+        Displacement::Done
     }
 
     /// Closes a connection whose client sends a message and has made no progress for some time.
@@ -165,11 +181,8 @@
         self.displace_since(MIN_UNSENT_STALL, |s| s.unsent.load(Ordering::Relaxed) > 0)
     }
 
-    fn displace_since(&self, stall: Duration, may_close: impl Fn(&Slot) -> bool) -> bool {
-        let (now, stall) = (self.now_us(), stall.as_micros() as u64);
-        self.displace(&mut lock(&self.open), |s| {
-            may_close(s) && s.progress_us.load(Ordering::Relaxed) + stall <= now
-        })
+    fn displace_since(&self, silence: Duration, may_close: impl Fn(&Slot) -> bool) -> bool {
+        self.displace(&mut lock(&self.open), silence, may_close) == Displacement::Done
     }
 
     fn make_room(&self) -> bool {
@@ -177,6 +190,16 @@
     }
 }
 
+/// Whether a connection was closed to make room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Displacement {
+    Done,
+    /// One may be closed after this time unless it makes progress.
+    In(Duration),
+    /// The requests of all are being served.
+    None,
+}
+
 impl Connections {
     /// Creates an empty set whose clients may send what `memory` has room for.
     pub fn new(memory: MemoryBudget) -> Self {
@@ -227,14 +250,28 @@
 }
 
 impl ConnectionGroup {
-    /// Admits a connection. If too many are open, the one without progress for longest is closed; returns `None` if
-    /// the requests of all of them are being served.
-    pub fn admit(&self) -> Option<Connection> {
-        let mut open = lock(&self.shared.open);
-        let is_full = open.slots.values().filter(|s| s.group == self.group).count() >= self.limit;
-        if is_full && !self.shared.displace(&mut open, |s| s.group == self.group) {
-            return None;
+    /// Admits a connection. If too many are open, the one without progress for longest is closed, if need be after a
+    /// short wait; returns `None` if the requests of all of them are being served.
+    pub async fn admit(&self) -> Option<Connection> {
+        loop {
+            if self.open() < self.limit {
+                return Some(self.insert());
+            }
+            match self.displace() {
+                Displacement::Done => tokio::time::sleep(DISPLACEMENT_INTERVAL).await,
+                Displacement::In(time) => tokio::time::sleep(time).await,
+                Displacement::None => return None,
+            }
         }
+    }
+
+    fn displace(&self) -> Displacement {
+        let mut open = lock(&self.shared.open);
+        self.shared.displace(&mut open, MIN_SILENCE, |s| s.group == self.group)
+    }
+
+    fn insert(&self) -> Connection {
+        let mut open = lock(&self.shared.open);
         let key = open.next;
         open.next += 1;
         let progress_us = AtomicU64::new(self.shared.now_us());
@@ -242,7 +279,7 @@
         open.slots.insert(key, slot.clone());
         let head =
             Mutex::new(Head { bytes: Some(0), reservation: self.shared.memory.reservation() });
-        Some(Connection { shared: self.shared.clone(), slot, head })
+        Connection { shared: self.shared.clone(), slot, head }
     }
 
     /// Returns how many connections may be open.
--- a/crates/hornbeam_node/src/control/net.rs
+++ b/crates/hornbeam_node/src/control/net.rs
@@ -255,7 +255,7 @@
     loop {
         let stream = next_connection(&listener).await;
         // Strangers always give way.
-        let Some(connection) = strangers.admit() else { continue };
+        let Some(connection) = strangers.admit().await else { continue };
         let receiver = receiver.clone();
         tokio::task::spawn_local(async move { read_stream(stream, connection, &receiver).await });
     }
--- a/crates/hornbeam_node/src/http/clients.rs
+++ b/crates/hornbeam_node/src/http/clients.rs
@@ -30,8 +30,8 @@
         Self { group, by_address: Arc::default() }
     }
 
-    fn admit(&self, address: Option<SocketAddr>) -> Option<Arc<Connection>> {
-        let connection = Arc::new(self.group.admit()?);
+    async fn admit(&self, address: Option<SocketAddr>) -> Option<Arc<Connection>> {
+        let connection = Arc::new(self.group.admit().await?);
         let mut known = self.by_address.lock().unwrap_or_else(|e| e.into_inner());
         if known.len() > 2 * self.group.limit() {
             known.retain(|_, connection| connection.strong_count() > 0);
@@ -75,7 +75,7 @@
         loop {
             let accepted = self.listener.accept(fuse_policy.clone()).await?;
             let address = accepted.remote_addr.clone().into_std();
-            let Some(connection) = self.clients.admit(address) else {
+            let Some(connection) = self.clients.admit(address).await else {
                 log::warn!("closing a new connection because all others are being served");
                 continue;
             };
--- a/crates/hornbeam_node/src/node.rs
+++ b/crates/hornbeam_node/src/node.rs
@@ -18,11 +18,10 @@
 use hornbeam_storage::{Folder, StorageError};
 use hornbeam_traffic::Roster;
 use salvo::Server;
-use salvo::conn::{Acceptor, Listener, TcpListener};
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use smol_str::{SmolStr, format_smolstr};
 use snafu::{ResultExt, Snafu};
-use socket2::SockRef;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::backends::Backends;
@@ -157,17 +156,9 @@
         };
         let app = App::new(params);
         let address = settings.http;
-        let acceptor = TcpListener::new(address).try_bind().await.map_err(|e| NodeError::Bind {
-            field: "http",
-            address,
-            source: std::io::Error::other(e),
-        })?;
-        debug_assert!(!acceptor.holdings().is_empty());
-        // Accepted connections inherit the options of the listener.
-        if let Err(e) = socket::CALLERS.apply(SockRef::from(acceptor.inner())) {
-            log::warn!("cannot set the socket options of callers' connections: {e}");
-        }
-        socket::bound_buffers(SockRef::from(acceptor.inner()));
+        let listener = socket::listen_for_clients(address).await;
+        let acceptor = listener.and_then(TcpAcceptor::try_from);
+        let acceptor = acceptor.context(BindSnafu { field: "http", address })?;
         let mut server = Server::new(ClientAcceptor { listener: acceptor, clients });
         server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
         let handle = server.handle();
--- a/crates/hornbeam_node/src/pages.rs
+++ b/crates/hornbeam_node/src/pages.rs
@@ -75,7 +75,7 @@
 {
     loop {
         let stream = next_connection(&listener).await;
-        let Some(connection) = group.admit() else {
+        let Some(connection) = group.admit().await else {
             log::warn!("closing a new connection because all others are being served");
             continue;
         };
--- a/crates/hornbeam_node/src/socket.rs
+++ b/crates/hornbeam_node/src/socket.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Limits on the silence of the peer of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,6 +34,9 @@
 /// Streams between controllers and between instances; shorter than an election takes.
 pub const CONTROL: Liveness = Liveness::new(800, 1, 1);
 
+/// Connections that may wait to be accepted. Once they are too many, opening packets are dropped, and clients wait a
+/// second before they send them again.
+pub const BACKLOG: u32 = 1_024;
 /// Receive and send buffer of a client's connection, in bytes. The kernel doubles it for its own use.
 const CLIENT_BUFFER_BYTES: usize = 16 << 10;
 
@@ -67,7 +70,10 @@
 ///
 /// Returns an error if the address cannot be bound or an option cannot be set.
 pub async fn listen(address: SocketAddr, liveness: Liveness) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(BACKLOG)?;
     liveness.apply(SockRef::from(&listener))?;
     Ok(listener)
 }
@@ -85,7 +91,7 @@
 }
 
 /// Bounds the kernel's buffers of the connections that a listener accepts.
-pub fn bound_buffers(listener: SockRef<'_>) {
+fn bound_buffers(listener: SockRef<'_>) {
     // Without the bounds the kernel may hold more, but all else works.
     for bounded in [
         listener.set_recv_buffer_size(CLIENT_BUFFER_BYTES),
--- a/crates/hornbeam_node/tests/client_connections.rs
+++ b/crates/hornbeam_node/tests/client_connections.rs
@@ -54,12 +54,12 @@
 #[tokio::test(start_paused = true)]
 async fn oldest_gives_way() {
     let group = connections(KIB).group(2);
-    let first = group.admit().unwrap();
+    let first = group.admit().await.unwrap();
     pass(STALL).await;
-    let second = group.admit().unwrap();
+    let second = group.admit().await.unwrap();
     pass(STALL).await;
     first.record_progress();
-    let third = group.admit().unwrap();
+    let third = group.admit().await.unwrap();
     assert!(has_to_close(&second), "the others have made progress since");
     assert!(!has_to_close(&first) && !has_to_close(&third));
     assert_eq!(group.open(), 2);
@@ -69,17 +69,33 @@
     assert_eq!(group.open(), 0);
 }
 
+/// A client that has just connected gets the chance to send its request.
+#[tokio::test(start_paused = true)]
+async fn new_ones_stay_a_moment() {
+    let group = connections(KIB).group(2);
+    let (first, second) = (group.admit().await.unwrap(), group.admit().await.unwrap());
+    let admitted = tokio::time::Instant::now();
+    let other = group.clone();
+    let third = tokio::spawn(async move { other.admit().await });
+    settle().await;
+    assert!(!has_to_close(&first) && !has_to_close(&second));
+    first.begin_request(true);
+    let third = third.await.unwrap();
+    assert!(third.is_some() && has_to_close(&second) && !has_to_close(&first));
+    assert!(admitted.elapsed() >= Duration::from_millis(10), "{:?}", admitted.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn single_bytes_are_no_progress() {
     let group = connections(KIB).group(2);
-    let slow = group.admit().unwrap();
+    let slow = group.admit().await.unwrap();
     pass(STALL).await;
-    let silent = group.admit().unwrap();
+    let silent = group.admit().await.unwrap();
     for _ in 0..100 {
         pass(Duration::from_millis(10)).await;
         slow.record_bytes(1);
     }
-    let _third = group.admit().unwrap();
+    let _third = group.admit().await.unwrap();
     assert!(has_to_close(&slow), "it sends a byte now and then");
     assert!(!has_to_close(&silent));
 }
@@ -87,14 +103,14 @@
 #[tokio::test(start_paused = true)]
 async fn served_requests_stay() {
     let group = connections(KIB).group(2);
-    let (first, second) = (group.admit().unwrap(), group.admit().unwrap());
+    let (first, second) = (group.admit().await.unwrap(), group.admit().await.unwrap());
     first.begin_request(true);
     second.begin_request(false);
     second.serve_request();
     pass(STALL).await;
-    assert!(group.admit().is_none(), "the requests of both are being served");
+    assert!(group.admit().await.is_none(), "the requests of both are being served");
     first.await_request();
-    assert!(group.admit().is_some());
+    assert!(group.admit().await.is_some());
     assert!(has_to_close(&first) && !has_to_close(&second));
 }
 
@@ -102,9 +118,12 @@
 async fn groups_have_own_limits() {
     let connections = connections(KIB);
     let (callers, pages) = (connections.group(2), connections.group(1));
-    let health = pages.admit().unwrap();
+    let health = pages.admit().await.unwrap();
     pass(STALL).await;
-    let held: Vec<_> = (0..5).map(|_| callers.admit().unwrap()).collect();
+    let mut held = Vec::new();
+    for _ in 0..5 {
+        held.push(callers.admit().await.unwrap());
+    }
     assert!(!has_to_close(&health), "callers do not keep out health checks");
     assert_eq!(held.iter().filter(|c| has_to_close(c)).count(), 3);
     assert_eq!((callers.open(), pages.open(), connections.displaced()), (2, 1, 3));
@@ -114,10 +133,10 @@
 async fn stalled_messages_give_way() {
     let connections = connections(100 * KIB);
     let (callers, strangers) = (connections.group(10), connections.group(10));
-    let stalled = Arc::new(callers.admit().unwrap());
+    let stalled = Arc::new(callers.admit().await.unwrap());
     let held = hold(stalled.clone(), 64 * KIB);
     settle().await;
-    let other = strangers.admit().unwrap();
+    let other = strangers.admit().await.unwrap();
     assert!(!reserves(&other, 64 * KIB).await, "the message may still be on its way");
     pass(STALL).await;
     assert!(reserves(&other, 64 * KIB).await, "its memory is for others now");
@@ -129,14 +148,14 @@
 async fn messages_with_progress_stay() {
     let connections = connections(100 * KIB);
     let group = connections.group(10);
-    let sending = Arc::new(group.admit().unwrap());
+    let sending = Arc::new(group.admit().await.unwrap());
     let _held = hold(sending.clone(), 64 * KIB);
     settle().await;
     for _ in 0..10 {
         pass(Duration::from_millis(100)).await;
         sending.record_bytes(4 * KIB);
     }
-    let other = group.admit().unwrap();
+    let other = group.admit().await.unwrap();
     assert!(!reserves(&other, 64 * KIB).await);
     assert!(!has_to_close(&sending));
     assert!(!reserves(&other, 200 * KIB).await, "there is never room for it");
@@ -147,8 +166,8 @@
 async fn idle_connections_keep_their_memory() {
     let connections = connections(20 * KIB);
     let group = connections.group(10);
-    let idle = group.admit().unwrap();
-    let other = group.admit().unwrap();
+    let idle = group.admit().await.unwrap();
+    let other = group.admit().await.unwrap();
     let mut taken = other.reservation();
     assert!(taken.try_extend(20 * KIB));
     pass(STALL).await;
@@ -160,8 +179,8 @@
 async fn unsent_responses_give_way() {
     let connections = connections(100 * KIB);
     let group = connections.group(10);
-    let silent = group.admit().unwrap();
-    let taking = group.admit().unwrap();
+    let silent = group.admit().await.unwrap();
+    let taking = group.admit().await.unwrap();
     for connection in [&silent, &taking] {
         connection.begin_request(true);
         connection.begin_response(50 * KIB);
@@ -183,7 +202,7 @@
 async fn heads_are_counted() {
     let connections = connections(64 * KIB);
     let group = connections.group(10);
-    let first = group.admit().unwrap();
+    let first = group.admit().await.unwrap();
     assert_eq!(first.reserve_head(8 * KIB), HeadRoom::Reserved);
     assert_eq!(connections.reserved_bytes(), 0, "a first read needs no reservation");
     first.record_bytes(8 * KIB);
@@ -193,7 +212,7 @@
         28 * KIB,
         "buffer and fields, without the first 4 KiB"
     );
-    let second = group.admit().unwrap();
+    let second = group.admit().await.unwrap();
     second.record_bytes(16 * KIB);
     assert_eq!(second.reserve_head(8 * KIB), HeadRoom::None);
     pass(STALL).await;
@@ -214,7 +233,7 @@
 #[test_macro(tokio::test(start_paused = true))]
 async fn bodies(length: usize, expected: Result<usize, BodyError>) {
     let connections = connections(200 * KIB);
-    let connection = connections.group(1).admit().unwrap();
+    let connection = connections.group(1).admit().await.unwrap();
     connection.begin_request(false);
     let (mut tx, body) = Channel::<Bytes, std::io::Error>::new(1);
     let sent = tokio::spawn(async move {
@@ -241,7 +260,7 @@
 #[tokio::test(start_paused = true)]
 async fn late_body() {
     let connections = connections(200 * KIB);
-    let connection = connections.group(1).admit().unwrap();
+    let connection = connections.group(1).admit().await.unwrap();
     let (mut tx, body) = Channel::<Bytes, std::io::Error>::new(1);
     tx.send_data(vec![b'x'; 10 * KIB].into()).await.unwrap();
     assert_eq!(read_body(&connection, body, 64 * KIB).await, Err(BodyError::TimedOut));
--- a/crates/hornbeamrun/tests/crowd/mod.rs
+++ b/crates/hornbeamrun/tests/crowd/mod.rs
@@ -470,6 +470,8 @@
 pub enum Sending {
     /// Connections without a byte.
     Silent,
+    /// The same, and another one whenever one is closed.
+    Returning,
     /// A body with a length, at once.
     Whole,
     /// The same in small pieces.
@@ -522,7 +524,7 @@
         )
     };
     match sending {
-        Sending::Silent => Vec::new(),
+        Sending::Silent | Sending::Returning => Vec::new(),
         Sending::Whole | Sending::Pieces => {
             let mut message = head(&format!("content-length: {bytes}\r\n")).into_bytes();
             message.resize(message.len() + bytes - 1, b'x');
@@ -592,6 +594,14 @@
                         tokio::time::sleep(Duration::from_millis(5)).await;
                     }
                 }
+                while let Sending::Returning = sending {
+                    // Waits until the connection is closed.
+                    let _ = stream.read_u8().await;
+                    match TcpStream::connect(to).await {
+                        Ok(next) => stream = next,
+                        Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                    }
+                }
                 // Neither reads nor closes.
                 std::future::pending::<()>().await;
             });
--- a/crates/hornbeamrun/tests/crowds.rs
+++ b/crates/hornbeamrun/tests/crowds.rs
@@ -122,6 +122,30 @@
     site.controller.check(MEMORY_MB, &what);
 }
 
+/// More silent connections than the process has descriptors, whose clients connect again when they are closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn returning() {
+    let _turn = take_turn().await;
+    let mut site = Site::start(7, MEMORY_MB, FEW_DESCRIPTORS).await;
+    let ports = [
+        site.entry.at(CALLERS),
+        site.entry.at(READY),
+        site.entry.at(INNER),
+        site.controller.at(API),
+        site.controller.at(INNER),
+        site.controller.at(INNER + 1),
+    ];
+    let mut crowds = Vec::new();
+    for port in ports {
+        crowds.push(Crowd::gather(CLIENTS, port, Sending::Returning, "", 0).await);
+    }
+    let what = format!("returning, {} crowds", crowds.len());
+    site.check_all_served(2, &what).await;
+    site.check_new_entry(&what).await;
+    site.entry.check(MEMORY_MB, &what);
+    site.controller.check(MEMORY_MB, &what);
+}
+
 /// Clients that take no answer to a read of a long routing table.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_tables() {
