The limits on clients have a file of their own

Cause: connections.rs had two subjects. Change: ClientLimits and ClientShare move to client_limits; Connections::displaced_count says that it counts. Measured: no behaviour changes; node/client_connections passes.

--- a/crates/hornbeam_controller/src/run.rs
+++ b/crates/hornbeam_controller/src/run.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use hornbeam_model::Routing;
+use hornbeam_node::client_limits::{ClientLimits, ClientShare};
 use hornbeam_node::clock::{Clock, unix_us};
-use hornbeam_node::connections::{ClientLimits, ClientShare, ConnectionGroup, Connections};
+use hornbeam_node::connections::{ConnectionGroup, Connections};
 use hornbeam_node::control::net::{Incoming, Net, NetParams};
 use hornbeam_node::journal::EventLog;
 use hornbeam_node::memory::MemoryBudget;
--- a/crates/hornbeam_entry/src/metrics.rs
+++ b/crates/hornbeam_entry/src/metrics.rs
@@ -198,7 +198,7 @@
     pub fn set_clients(&self, connections: &Connections) {
         self.client_connections.set(connections.open() as i64);
         self.client_bytes.set(connections.reserved_bytes() as i64);
-        self.displaced_connections.set(connections.displaced() as i64);
+        self.displaced_connections.set(connections.displaced_count() as i64);
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/hornbeam_entry/src/run.rs
+++ b/crates/hornbeam_entry/src/run.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use hornbeam_model::{Mono, TeamUsage};
+use hornbeam_node::client_limits::{ClientLimits, ClientShare};
 use hornbeam_node::clock::Clock;
-use hornbeam_node::connections::{ClientLimits, ClientShare, ConnectionGroup, Connections};
+use hornbeam_node::connections::{ConnectionGroup, Connections};
 use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::pages::{Pages, serve};
 use hornbeam_node::program::{self, BindSnafu, ProgramError, StartSnafu};
--- a/crates/hornbeam_node/src/lib.rs
+++ b/crates/hornbeam_node/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`logging`]: setup of the process log
 //! - [`memory`]: memory for what others send
 //! - [`connections`]: open connections of clients, and which of them give way
+//! - [`client_limits`]: how many connections clients may open, and how much memory what they send may take
 //! - [`client_stream`]: the byte stream of a client's connection
 //! - [`request_body`]: reading of request bodies within the memory for them
 //! - [`pages`]: HTTP endpoints for the platform, such as readiness and metrics
@@ -24,6 +25,7 @@
 //! - [`node`]: starts and stops an instance
 
 pub mod backends;
+pub mod client_limits;
 pub mod client_stream;
 pub mod clock;
 pub mod connections;
--- a/crates/hornbeam_node/src/node.rs
+++ b/crates/hornbeam_node/src/node.rs
@@ -25,8 +25,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::backends::Backends;
+use crate::client_limits::{ClientLimits, ClientShare};
 use crate::clock::{Clock, unix_us};
-use crate::connections::{ClientLimits, ClientShare, ConnectionGroup, Connections};
+use crate::connections::{ConnectionGroup, Connections};
 use crate::control::net::{Incoming, Net, NetParams};
 use crate::control::run::LocalStorage;
 use crate::control::{ControlHandle, ControlThread};
--- a/crates/hornbeam_node/tests/client_connections.rs
+++ b/crates/hornbeam_node/tests/client_connections.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeam_node::connections::{ClientLimits, ClientShare, Connection, Connections, HeadRoom};
+use hornbeam_node::client_limits::{ClientLimits, ClientShare};
+use hornbeam_node::connections::{Connection, Connections, HeadRoom};
 use hornbeam_node::memory::MemoryBudget;
 use hornbeam_node::request_body::{BodyError, read_body};
 use http_body_util::channel::Channel;
@@ -126,7 +127,7 @@
     }
     assert!(!has_to_close(&health), "callers do not keep out health checks");
     assert_eq!(held.iter().filter(|c| has_to_close(c)).count(), 3);
-    assert_eq!((callers.open(), pages.open(), connections.displaced()), (2, 1, 3));
+    assert_eq!((callers.open(), pages.open(), connections.displaced_count()), (2, 1, 3));
 }
 
 #[tokio::test(start_paused = true)]
