Tests of real processes do not wait for the machine's disk

Change: these tests keep their folders in memory where there is such a folder. Checks and bounds are as they were; programs are killed, not cut from power, so that nothing of what the tests ask depends on the disk.

--- a/crates/hornbeamrun/tests/crowd/mod.rs
+++ b/crates/hornbeamrun/tests/crowd/mod.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use hornbeam_soak::caller::{HOST, http};
+use hornbeam_soak::fleet::memory_root;
 use hornbeam_soak::tables::table;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -183,7 +184,7 @@
 impl Site {
     /// Starts the processes, each with this memory and this many descriptors, on addresses of test number `test`.
     pub async fn start(test: u8, memory_mb: u64, descriptors: u32) -> Self {
-        let folder = memory_folder();
+        let folder = tempfile::tempdir_in(memory_root()).unwrap();
         let (ip, api) = (host(test, 1), SocketAddr::new(host(test, 1), API));
         let common = settings(&folder, "control", ip, api, memory_mb);
         let file = folder.path().join("control.yaml");
@@ -270,11 +271,6 @@
     }
 }
 
-/// Returns a folder that does not wait for a disk, where there is one: the tests ask what a process holds.
-fn memory_folder() -> tempfile::TempDir {
-    tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir()).unwrap()
-}
-
 fn settings(
     folder: &tempfile::TempDir,
     name: &str,
@@ -394,7 +390,7 @@
 impl Instance {
     /// Starts an instance on addresses of test number `test`, with these settings in addition.
     pub async fn start(test: u8, descriptors: u32, more: &str) -> Self {
-        let folder = memory_folder();
+        let folder = tempfile::tempdir_in(memory_root()).unwrap();
         let ip = host(test, 1);
         std::fs::write(folder.path().join("key"), "inner key of the crowd tests").unwrap();
         std::fs::write(folder.path().join("token"), TOKEN).unwrap();
--- a/crates/hornbeamrun/tests/large_answers.rs
+++ b/crates/hornbeamrun/tests/large_answers.rs
@@ -8,7 +8,7 @@
 
 use hornbeam_model::{Route, RoutedService, Routing, Scatter, ServiceId, TableVersion, Target};
 use hornbeam_soak::caller::{Caller, HOST, http, put_table};
-use hornbeam_soak::fleet::ProgramKind;
+use hornbeam_soak::fleet::{ProgramKind, memory_root};
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -179,7 +179,7 @@
 }
 
 async fn play(net: u8, sending: Sending) {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = tempfile::tempdir_in(memory_root()).unwrap();
     let stage = start(net, folder.path()).await;
     let api = stage.fleet.apis()[0];
     let entry = stage.fleet.callers()[0];
--- a/crates/hornbeamrun/tests/odd_entries.rs
+++ b/crates/hornbeamrun/tests/odd_entries.rs
@@ -7,7 +7,7 @@
 
 use hornbeam_model::Routing;
 use hornbeam_soak::caller::{Caller, http, put_table};
-use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind};
+use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind, memory_root};
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
 
@@ -113,7 +113,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn among_servers() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = tempfile::tempdir_in(memory_root()).unwrap();
     let mut stage = stage(26, folder.path()).await;
     let api = stage.fleet.apis()[0];
     let fields = [
--- a/crates/hornbeamrun/tests/processes.rs
+++ b/crates/hornbeamrun/tests/processes.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use hornbeam_soak::fleet::memory_root;
 use serde_json::{Value, json};
 
 const BIN: &str = env!("CARGO_BIN_EXE_hornbeamrun");
@@ -43,7 +44,7 @@
 impl Cluster {
     /// Starts three voters in two zones and twelve stand-in backend servers with 24 shards.
     async fn build(host: u8) -> Self {
-        let folder = tempfile::tempdir().unwrap();
+        let folder = tempfile::tempdir_in(memory_root()).unwrap();
         std::fs::write(folder.path().join("key"), "inner key of the process tests").unwrap();
         std::fs::write(folder.path().join("token"), TOKEN).unwrap();
         let client =
@@ -339,7 +340,7 @@
 
 #[test]
 fn check_error_line() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = tempfile::tempdir_in(memory_root()).unwrap();
     let file = folder.path().join("bad.yaml");
     std::fs::write(
         &file,
