--- a/crates/hornbeam_soak/src/fleet.rs
+++ b/crates/hornbeam_soak/src/fleet.rs
@@ -31,13 +31,6 @@
 /// that entries do delegate.
 const DELEGATE_ABOVE: usize = 2;
 
-/// Returns a folder for the files of tests that does not wait for a disk, if there is one. Where other programs write
-/// much, a disk may take seconds for each sync, and controllers wait for it.
-pub fn memory_root() -> PathBuf {
-    let memory = Path::new("/dev/shm");
-    if memory.is_dir() { memory.to_owned() } else { std::env::temp_dir() }
-}
-
 /// Role in which a program runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProgramKind {
--- a/crates/hornbeamrun/tests/crowd/mod.rs
+++ b/crates/hornbeamrun/tests/crowd/mod.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use hornbeam_soak::caller::{HOST, http};
-use hornbeam_soak::fleet::memory_root;
 use hornbeam_soak::tables::table;
+use hornbeam_testkit::folders::memory_root;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -9,11 +9,12 @@
 
 use hornbeam_model::Routing;
 use hornbeam_soak::caller::{Caller, HOST, http, put_table};
-use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind, memory_root};
+use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind};
 use hornbeam_soak::run::{FleetRun, Options, run_seed};
 use hornbeam_soak::tables::table;
 use hornbeam_standin::LoadReport;
 use hornbeam_standin::routed::{RoutedFault, STATED_RATE};
+use hornbeam_testkit::folders::memory_root;
 use rustix::process::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/crates/hornbeamrun/tests/killed_founders.rs
+++ b/crates/hornbeamrun/tests/killed_founders.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use hornbeam_soak::caller::put_table;
-use hornbeam_soak::fleet::{Fleet, ProgramKind, memory_root};
+use hornbeam_soak::fleet::{Fleet, ProgramKind};
 use hornbeam_soak::tables::table;
+use hornbeam_testkit::folders::memory_root;
 
 /// Time within which a table is acknowledged after the controllers have started again.
 const MAX_WAIT: Duration = Duration::from_secs(8);
--- a/crates/hornbeamrun/tests/large_answers.rs
+++ b/crates/hornbeamrun/tests/large_answers.rs
@@ -8,9 +8,10 @@
 
 use hornbeam_model::{Route, RoutedService, Routing, Scatter, ServiceId, TableVersion, Target};
 use hornbeam_soak::caller::{Caller, HOST, http, put_table};
-use hornbeam_soak::fleet::{ProgramKind, memory_root};
+use hornbeam_soak::fleet::ProgramKind;
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
+use hornbeam_testkit::folders::memory_root;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/hornbeamrun/tests/lost_log.rs
+++ b/crates/hornbeamrun/tests/lost_log.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use hornbeam_soak::caller::{Caller, put_table};
-use hornbeam_soak::fleet::{ProgramKind, memory_root};
+use hornbeam_soak::fleet::ProgramKind;
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
+use hornbeam_testkit::folders::memory_root;
 
 async fn start(net: u8, folder: &Path) -> FleetRun {
     let options = Options {
--- a/crates/hornbeamrun/tests/odd_entries.rs
+++ b/crates/hornbeamrun/tests/odd_entries.rs
@@ -7,9 +7,10 @@
 
 use hornbeam_model::Routing;
 use hornbeam_soak::caller::{Caller, http, put_table};
-use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind, memory_root};
+use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind};
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
+use hornbeam_testkit::folders::memory_root;
 
 const WAIT: Duration = Duration::from_secs(2);
 
--- a/crates/hornbeamrun/tests/processes.rs
+++ b/crates/hornbeamrun/tests/processes.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use hornbeam_soak::fleet::memory_root;
+use hornbeam_testkit::folders::memory_root;
 use serde_json::{Value, json};
 
 const BIN: &str = env!("CARGO_BIN_EXE_hornbeamrun");
