Comments after reading the diff

Cause: three comments used other words than the field's, or said less than the code. Change: they are reworded. Measured: format and lints pass; no behaviour changes.

--- a/crates/hornbeam_node/src/connections.rs
+++ b/crates/hornbeam_node/src/connections.rs
@@ -1,8 +1,8 @@
 //! Open connections of clients, and which of them give way when there is no room.
 //!
 //! Failure pattern: many clients send messages of legal size, stop just short of the end and stay connected, or
-//! connect and send nothing. Each is within its own bound, but not their sum in memory and descriptors, and those
-//! who behave find the house full until time-outs end. Here connections are bounded in number, and what they send
+//! connect and send nothing. Each is within its own bound, but not their sum in memory and descriptors, and other
+//! clients are kept out until time-outs end. Here connections are bounded in number, and what they send
 //! in memory. Where there is no room, the connection that has made no progress for longest is closed, unless its
 //! request is being served.
 
@@ -192,7 +192,7 @@
     }
 }
 
-/// Connections of one kind, such as those to one port. They take part of one limit.
+/// Connections of one kind, such as those to one port, which share a limit on their number.
 #[derive(Clone, Debug)]
 pub struct ConnectionGroup {
     shared: Arc<Shared>,
--- a/crates/hornbeamrun/tests/crowd/mod.rs
+++ b/crates/hornbeamrun/tests/crowd/mod.rs
@@ -564,7 +564,7 @@
 }
 
 impl Crowd {
-    /// Connects `clients` that send as told, and waits until all that the process takes has been sent.
+    /// Connects `clients` that send in this way, and waits until the process takes no more.
     pub async fn gather(
         clients: usize,
         to: SocketAddr,
