Tests: settings of memory and descriptors that are refused

Cause: the new settings of an instance came without a test of their bounds. Change: a row for each in settings/refusals, and the longest body of earlier builds loads with the default memory.

--- a/crates/hornbeam_settings/tests/refusals.rs
+++ b/crates/hornbeam_settings/tests/refusals.rs
@@ -27,6 +27,12 @@
     read(VALID).unwrap();
 }
 
+/// The longest body that settings of earlier builds may name fits the default memory.
+#[test]
+fn longest_body_loads() {
+    read(&format!("{VALID}max_body_bytes: 67108864\n")).unwrap();
+}
+
 #[parameterized(
     unknown = { "colour: red\n", ":8", "colour" },
     lease = { "lease_ms: 9000\n", ":8: lease_ms", "choose a value in that range" },
@@ -39,6 +45,9 @@
     token = { "operator_token_file: none\n", ":8: operator_token_file", "random bytes" },
     bad_number = { "max_in_flight: many\n", ":8", "" },
     zero = { "max_in_flight: 0\n", ":8: max_in_flight", "range" },
+    little_memory = { "memory_mb: 63\n", ":8: memory_mb", "range" },
+    long_body = { "max_body_bytes: 8388609\nmemory_mb: 64\n", ":8: max_body_bytes", "raise memory_mb" },
+    few_descriptors = { "descriptors: 0\n", ":8: descriptors", "range" },
 )]
 fn added_line(line: &str, location: &str, remedy: &str) {
     let error = read(&format!("{VALID}{line}")).unwrap_err();
