--- a/crates/hornbeam_controller/tests/saved_state.rs
+++ b/crates/hornbeam_controller/tests/saved_state.rs
@@ -6,7 +6,6 @@
 
 use hornbeam_controller::state_file::{SERVERS, ServerFile};
 use hornbeam_discovery::SavedServers;
-use hornbeam_testkit::folders::memory_root;
 
 /// Longest time after which a value is on the disk once there is room.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -35,7 +34,7 @@
 
 #[test]
 fn saved_once_there_is_room() {
-    let dir = tempfile::tempdir_in(memory_root()).unwrap();
+    let dir = tempfile::tempdir().unwrap();
     let (file, _) = ServerFile::open(dir.path(), SERVERS).unwrap();
     set_full(dir.path(), true);
     file.save(SavedServers { unix_ms: 7, claims: Vec::new() });
@@ -52,7 +51,7 @@
 
 #[test]
 fn latest_value_kept() {
-    let dir = tempfile::tempdir_in(memory_root()).unwrap();
+    let dir = tempfile::tempdir().unwrap();
     let (file, _) = ServerFile::open(dir.path(), SERVERS).unwrap();
     set_full(dir.path(), true);
     file.save(SavedServers { unix_ms: 7, claims: Vec::new() });
--- a/crates/hornbeam_controller/tests/zone_orders.rs
+++ b/crates/hornbeam_controller/tests/zone_orders.rs
@@ -23,7 +23,6 @@
 use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{Envelope, FrameKey, MAX_STREAM_BYTES, Message};
 use hornbeam_settings::FleetSettings;
-use hornbeam_testkit::folders::memory_root;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::mpsc;
@@ -172,7 +171,7 @@
 
 fn run(test: u8, body: impl AsyncFnOnce(u8)) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         for n in 1..4 {
--- a/crates/hornbeam_node/tests/common/mod.rs
+++ b/crates/hornbeam_node/tests/common/mod.rs
@@ -11,7 +11,6 @@
 use hornbeam_node::Node;
 use hornbeam_settings::{Peer, Role, Secret, Settings};
 use hornbeam_standin::{Behaviour, StandIn, StandInParams};
-use hornbeam_testkit::folders::memory_root;
 use hornbeam_testkit::samples;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
@@ -85,7 +84,7 @@
         };
         let peers: Vec<Peer> = (0..nodes).map(peer).collect();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        let folder = tempfile::tempdir_in(memory_root()).unwrap();
+        let folder = tempfile::tempdir().unwrap();
         let mut cluster = Self { peers, nodes: Vec::new(), servers: Vec::new(), client, folder };
         for n in 0..nodes {
             cluster.nodes.push(None);
--- a/crates/hornbeam_testkit/src/lib.rs
+++ b/crates/hornbeam_testkit/src/lib.rs
@@ -7,11 +7,9 @@
 //! - [`scenario`]: parser and runner of scenario files
 //! - [`queue`]: event queue in virtual time
 //! - [`samples`]: valid configurations and announcements that tests start from
-//! - [`folders`]: folders for the files of tests
 
 pub mod capacity;
 pub mod control;
-pub mod folders;
 pub mod layouts;
 pub mod queue;
 pub mod samples;
--- a/crates/hornbeamrun/tests/crowd/mod.rs
+++ b/crates/hornbeamrun/tests/crowd/mod.rs
@@ -12,7 +12,6 @@
 
 use hornbeam_soak::caller::{HOST, http};
 use hornbeam_soak::tables::table;
-use hornbeam_testkit::folders::memory_root;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
@@ -184,7 +183,7 @@
 impl Site {
     /// Starts the processes, each with this memory and this many descriptors, on addresses of test number `test`.
     pub async fn start(test: u8, memory_mb: u64, descriptors: u32) -> Self {
-        let folder = tempfile::tempdir_in(memory_root()).unwrap();
+        let folder = tempfile::tempdir().unwrap();
         let (ip, api) = (host(test, 1), SocketAddr::new(host(test, 1), API));
         let common = settings(&folder, "control", ip, api, memory_mb);
         let file = folder.path().join("control.yaml");
@@ -390,7 +389,7 @@
 impl Instance {
     /// Starts an instance on addresses of test number `test`, with these settings in addition.
     pub async fn start(test: u8, descriptors: u32, more: &str) -> Self {
-        let folder = tempfile::tempdir_in(memory_root()).unwrap();
+        let folder = tempfile::tempdir().unwrap();
         let ip = host(test, 1);
         std::fs::write(folder.path().join("key"), "inner key of the crowd tests").unwrap();
         std::fs::write(folder.path().join("token"), TOKEN).unwrap();
--- a/crates/hornbeamrun/tests/fleet.rs
+++ b/crates/hornbeamrun/tests/fleet.rs
@@ -14,7 +14,6 @@
 use hornbeam_soak::tables::table;
 use hornbeam_standin::LoadReport;
 use hornbeam_standin::routed::{RoutedFault, STATED_RATE};
-use hornbeam_testkit::folders::memory_root;
 use rustix::process::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -60,7 +59,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn invalid_requests() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(11, (1, 1), folder.path()).await;
     let id = "hornbeam-request-id: a1";
     let host = format!("host: {HOST}");
@@ -113,7 +112,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stopped_under_load() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(12, (2, 1), folder.path()).await;
     let callers = stage.start_callers();
     let stopping = Arc::new(AtomicBool::new(false));
@@ -145,7 +144,7 @@
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "failed in runs of CI beside load: see KNOWN-RED.txt"]
 async fn stopped_with_unresponsive_server() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(17, (1, 1), folder.path()).await;
     for running in &stage.servers {
         running.server.set_fault(RoutedFault::Unresponsive);
@@ -179,7 +178,7 @@
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "failed in runs of CI beside load: see KNOWN-RED.txt"]
 async fn lost_disks_one_by_one() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(13, (1, 4), folder.path()).await;
     for i in stage.fleet.of_kind(ProgramKind::Controller) {
         stage.fleet.programs[i].kill().await;
@@ -201,7 +200,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn short_soak() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let options = Options { server_proxies: true, ..options(14, 3, (3, 4)) };
     let outcome = run_seed(&options, folder.path()).await.expect("the fleet starts");
     assert_eq!(outcome.violations, Vec::<String>::new(), "{:#?}", outcome.faults);
@@ -210,7 +209,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_calls() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(15, (1, 1), folder.path()).await;
     let api = stage.fleet.apis()[0];
     let wait = Duration::from_secs(2);
@@ -222,7 +221,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(16, (1, 1), folder.path()).await;
     send_raw(
         &stage,
@@ -254,7 +253,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn routed_load() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(18, (2, 1), folder.path()).await;
     let targets: Vec<String> = stage.fleet.callers().iter().map(ToString::to_string).collect();
     let targets = targets.join(",");
@@ -267,7 +266,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn routed_standins() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(19, (1, 1), folder.path()).await;
     let controllers = stage.fleet.apis()[0].to_string();
     let mut standins = tokio::process::Command::new(env!("CARGO_BIN_EXE_hornbeamrun"))
@@ -308,7 +307,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn changed_settings() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(20, (1, 1), folder.path()).await;
     for program in &stage.fleet.programs {
         let before = std::fs::read_to_string(&program.settings).unwrap();
@@ -338,7 +337,7 @@
 /// know of it only what the controller has saved.
 #[tokio::test(flavor = "multi_thread")]
 async fn departed_before_restart() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(21, (1, 1), folder.path()).await;
     let (controller, entry) = (0, stage.fleet.of_kind(ProgramKind::Entry)[0]);
     let known = stage.servers.len() as u64;
@@ -382,7 +381,7 @@
 /// may run it at most.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_request() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(22, (4, 2), folder.path()).await;
     for _ in 0..10 {
         stage.add_server("tablet").await.unwrap();
@@ -421,7 +420,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stated_rate() {
     const WINDOW: Duration = Duration::from_secs(4);
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = stage(23, (4, 2), folder.path()).await;
     let is_tablet =
         |s: &&hornbeam_standin::routed::Running| s.server.params.service.as_str() == "tablet";
@@ -447,7 +446,7 @@
 /// servers end at about the same time.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_search() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(24, (4, 2), folder.path()).await;
     let entries = stage.fleet.callers();
     let mut harmful_rounds = 0;
@@ -473,7 +472,7 @@
 /// keeps it from ending more.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashed_before_restart() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(25, (2, 2), folder.path()).await;
     for _ in 0..8 {
         stage.add_server("tablet").await.unwrap();
--- a/crates/hornbeamrun/tests/killed_founders.rs
+++ b/crates/hornbeamrun/tests/killed_founders.rs
@@ -7,7 +7,6 @@
 use hornbeam_soak::caller::put_table;
 use hornbeam_soak::fleet::{Fleet, ProgramKind};
 use hornbeam_soak::tables::table;
-use hornbeam_testkit::folders::memory_root;
 
 /// Time within which a table is acknowledged after the controllers have started again.
 const MAX_WAIT: Duration = Duration::from_secs(8);
@@ -45,7 +44,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn before_the_log_exists() {
     for (net, ms) in [(35, 100), (36, 400), (37, 700), (38, 1_100)] {
-        let folder = tempfile::tempdir_in(memory_root()).unwrap();
+        let folder = tempfile::tempdir().unwrap();
         let fleet = restarted(net, folder.path(), Duration::from_millis(ms), 0).await;
         assert!(is_acknowledged(&fleet).await, "killed after {ms} ms");
     }
@@ -54,7 +53,7 @@
 /// A log that was in use must not be started a second time by controllers that have lost their disks.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_disks_start_nothing() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let fleet = restarted(39, folder.path(), Duration::from_secs(4), 3).await;
     assert!(!is_acknowledged(&fleet).await, "a second log");
 }
--- a/crates/hornbeamrun/tests/large_answers.rs
+++ b/crates/hornbeamrun/tests/large_answers.rs
@@ -11,7 +11,6 @@
 use hornbeam_soak::fleet::ProgramKind;
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
-use hornbeam_testkit::folders::memory_root;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -180,7 +179,7 @@
 }
 
 async fn play(net: u8, sending: Sending) {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let stage = start(net, folder.path()).await;
     let api = stage.fleet.apis()[0];
     let entry = stage.fleet.callers()[0];
--- a/crates/hornbeamrun/tests/lost_log.rs
+++ b/crates/hornbeamrun/tests/lost_log.rs
@@ -8,7 +8,6 @@
 use hornbeam_soak::fleet::ProgramKind;
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
-use hornbeam_testkit::folders::memory_root;
 
 async fn start(net: u8, folder: &Path) -> FleetRun {
     let options = Options {
@@ -48,7 +47,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn founded_anew() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = start(27, folder.path()).await;
     assert!(is_acknowledged(&stage, 5).await);
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -68,7 +67,7 @@
 /// table in memory, so that the entry's is not later than theirs.
 #[tokio::test(flavor = "multi_thread")]
 async fn disks_emptied_under_way() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = start(28, folder.path()).await;
     assert!(is_acknowledged(&stage, 5).await);
     tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/hornbeamrun/tests/odd_entries.rs
+++ b/crates/hornbeamrun/tests/odd_entries.rs
@@ -10,7 +10,6 @@
 use hornbeam_soak::fleet::{METRICS_PORT, ProgramKind};
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
-use hornbeam_testkit::folders::memory_root;
 
 const WAIT: Duration = Duration::from_secs(2);
 
@@ -114,7 +113,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn among_servers() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = stage(26, folder.path()).await;
     let api = stage.fleet.apis()[0];
     let fields = [
--- a/crates/hornbeamrun/tests/processes.rs
+++ b/crates/hornbeamrun/tests/processes.rs
@@ -6,7 +6,6 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use hornbeam_testkit::folders::memory_root;
 use serde_json::{Value, json};
 
 const BIN: &str = env!("CARGO_BIN_EXE_hornbeamrun");
@@ -44,7 +43,7 @@
 impl Cluster {
     /// Starts three voters in two zones and twelve stand-in backend servers with 24 shards.
     async fn build(host: u8) -> Self {
-        let folder = tempfile::tempdir_in(memory_root()).unwrap();
+        let folder = tempfile::tempdir().unwrap();
         std::fs::write(folder.path().join("key"), "inner key of the process tests").unwrap();
         std::fs::write(folder.path().join("token"), TOKEN).unwrap();
         let client =
@@ -326,16 +325,9 @@
     cluster.wait_complete(2).await;
 }
 
-/// Returns the command that runs the demo with its files in memory.
-fn demo() -> Command {
-    let mut command = Command::new(BIN);
-    command.arg("demo").env("TMPDIR", memory_root());
-    command
-}
-
 #[test]
 fn demo_runs() {
-    let output = demo().output().unwrap();
+    let output = Command::new(BIN).arg("demo").output().unwrap();
     let text = String::from_utf8(output.stdout).unwrap();
     assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
     let routed = "parts 6, lacking 0, records 10";
@@ -347,7 +339,7 @@
 
 #[test]
 fn check_error_line() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("bad.yaml");
     std::fs::write(
         &file,
@@ -362,7 +354,12 @@
 
 #[test]
 fn closed_pipe() {
-    let mut child = demo().stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut child = Command::new(BIN)
+        .arg("demo")
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
     let mut out = BufReader::new(child.stdout.take().unwrap());
     let mut line = String::new();
     out.read_line(&mut line).unwrap();
--- a/crates/hornbeamrun/tests/version_zero.rs
+++ b/crates/hornbeamrun/tests/version_zero.rs
@@ -8,7 +8,6 @@
 use hornbeam_soak::caller::{Caller, http, put_table};
 use hornbeam_soak::run::{FleetRun, Options};
 use hornbeam_soak::tables::table;
-use hornbeam_testkit::folders::memory_root;
 
 async fn start(net: u8, folder: &Path) -> FleetRun {
     let options = Options {
@@ -64,7 +63,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn first_table() {
-    let folder = tempfile::tempdir_in(memory_root()).unwrap();
+    let folder = tempfile::tempdir().unwrap();
     let mut stage = start(29, folder.path()).await;
     let apis = stage.fleet.apis();
     assert!(is_in_force(&stage).await, "after the acknowledgment");
