Controllers go on while their disk syncs

Cause: the event loop carried out the writes of the log, and did nothing else meanwhile: no heartbeats, reads, feeds or answers to servers. Change: a thread carries out the writes, in order and each with its sync. The voter holds back what depends on a write under way; a leader sends entries at once and counts itself for an entry once its own disk has it. With 64 writes behind it refuses proposals and lets another one lead. No sync is left out. Messages and files are as they were. Why it works: whatever leaves a voter is true of its disk, and what is committed is on the disks of a majority.

--- a/crates/hornbeam_control/src/lib.rs
+++ b/crates/hornbeam_control/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`log`]: log entries after the latest snapshot
 //! - [`raft`]: consensus state machine: elections, replication and membership changes
 //! - [`voter`]: the state machine together with its disk
+//! - `unsynced`: writes that are under way, and the outputs that wait for them
 //! - [`follower`]: distribution of the configuration to every instance, without ever going back
 
 pub mod encoding;
@@ -12,6 +13,7 @@
 pub mod log;
 pub mod raft;
 pub mod state;
+mod unsynced;
 pub mod voter;
 
 pub use follower::{ConfigFollower, FollowerInput, FollowerOutput, FollowerParams};
@@ -19,4 +21,4 @@
     Persist, Proposal, ProposalId, Raft, RaftInput, RaftOutput, RaftParams, RepairPolicy, Role,
 };
 pub use state::{ControlState, HistoryItem, ProposalOutcome};
-pub use voter::{Voter, initial_voters};
+pub use voter::{Voter, initial_voters, write};
--- a/crates/hornbeam_control/src/raft/mod.rs
+++ b/crates/hornbeam_control/src/raft/mod.rs
@@ -7,7 +7,8 @@
 //! votes nor acknowledges entries.
 //!
 //! The caller carries out the outputs in order: a [`RaftOutput::Persist`] must be synced before any
-//! later [`RaftOutput::Send`] leaves. If a write fails, the voter must stop.
+//! later [`RaftOutput::Send`] leaves, but for those that depend on no write under way
+//! ([`Voter::open_with_writer`](crate::Voter::open_with_writer)). If a write fails, the voter must stop.
 //!
 //! - [`identity`]: hello between voters, and when a voter may vote
 //! - [`election`]: pre-vote, vote, leadership transfer and stepping down
@@ -187,6 +188,8 @@
     state: ControlState,
     commit_index: LogIndex,
     applied_index: LogIndex,
+    /// Index up to which the own log is synced; `None` if each output is carried out before the next step.
+    synced_index: Option<LogIndex>,
     role: Role,
     leader: Option<InstanceId>,
     /// When a leader was last heard; `None` if none was since the start.
@@ -224,6 +227,7 @@
             members_index: LogIndex::default(),
             commit_index: recovered.snapshot.last.index,
             applied_index: recovered.snapshot.last.index,
+            synced_index: None,
             snapshot: recovered.snapshot,
             snapshot_data: Arc::new(recovered.snapshot_data),
             encoded_snapshot: None,
@@ -263,11 +267,18 @@
             RaftInput::Contacts(contacts) => self.identity.contacts = contacts,
             RaftInput::ConfigExists => self.identity.config_exists = true,
             RaftInput::TransferLeadership => self.transfer_leadership(out),
+            RaftInput::Synced => self.advance_commit(now, out),
             RaftInput::Tick => {}
         }
         self.on_tick(now, out);
     }
 
+    /// Sets the index up to which the own log is synced, for a caller that steps on while writes are under way. An
+    /// entry counts as on the own disk only then.
+    pub(crate) fn set_synced_index(&mut self, index: LogIndex) {
+        self.synced_index = Some(index.min(self.log.last().index));
+    }
+
     /// Returns the latest time at which [`RaftInput::Tick`] must be passed to [`Raft::step`].
     pub fn next_wake(&self) -> Mono {
         match self.role {
--- a/crates/hornbeam_control/src/raft/replication.rs
+++ b/crates/hornbeam_control/src/raft/replication.rs
@@ -281,7 +281,7 @@
         known.record(start, LogPos { term, index: matched });
     }
 
-    /// Returns the highest index that a majority of the voters has in its log.
+    /// Returns the highest index that a majority of the voters has on their disks.
     fn majority_match_index(&self) -> LogIndex {
         let Some(leader_state) = &self.leader_state else { return LogIndex::default() };
         let mut matches: Vec<LogIndex> = self
@@ -291,7 +291,7 @@
             .map(|v| match leader_state.progress.get(v) {
                 Some(p) if !p.counts_for(self.members.voters.get(v)) => LogIndex::default(),
                 Some(p) => p.match_index,
-                None if *v == self.params.me => self.log.last().index,
+                None if *v == self.params.me => self.synced_index.unwrap_or(self.log.last().index),
                 None => LogIndex::default(),
             })
             .collect();
--- a/crates/hornbeam_control/src/raft/types.rs
+++ b/crates/hornbeam_control/src/raft/types.rs
@@ -59,6 +59,8 @@
     Contacts(Vec<InstanceId>),
     /// Transfers leadership to another voter, if this instance leads; sent before it stops.
     TransferLeadership,
+    /// A write was synced that was under way during earlier steps.
+    Synced,
     /// Only processes the timers that are due.
     Tick,
 }
--- a/crates/hornbeam_controller/src/lib.rs
+++ b/crates/hornbeam_controller/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`dialect`]: encoding of API calls, heartbeats and routing tables
 //! - [`api`]: HTTP API for backend servers and operators
 //! - [`feed`]: connections on which entries receive servers and routing tables
+//! - [`log_disk`]: writes of the control log
 //! - [`order_rules`]: whether an order about a zone may be proposed
 //! - [`state`]: the loop that holds all state
 //! - [`state_file`]: state that is saved each time it changes
@@ -16,6 +17,7 @@
 pub mod api;
 pub mod dialect;
 pub mod feed;
+pub mod log_disk;
 pub mod metrics;
 pub mod order_rules;
 pub mod run;
--- a/crates/hornbeam_controller/src/metrics.rs
+++ b/crates/hornbeam_controller/src/metrics.rs
@@ -36,6 +36,8 @@
     pub entries_table: IntGauge,
     /// Index of the last log entry that this controller knows to be committed.
     pub committed_index: IntGauge,
+    /// Writes of the control log that its disk has not synced yet.
+    pub unsynced_writes: IntGauge,
     /// Open connections of servers, operators, pages and strangers.
     pub client_connections: IntGauge,
     /// Bytes reserved for what they send.
@@ -89,6 +91,10 @@
                 "hornbeam_controller_committed_index",
                 "Last log entry known to be committed.",
             ),
+            unsynced_writes: gauge(
+                "hornbeam_controller_unsynced_writes",
+                "Writes of the control log that its disk has not synced yet.",
+            ),
             client_connections: gauge(
                 "hornbeam_controller_client_connections",
                 "Open connections of servers, operators, pages and strangers.",
--- a/crates/hornbeam_controller/src/state/control_log.rs
+++ b/crates/hornbeam_controller/src/state/control_log.rs
@@ -11,13 +11,14 @@
 use hornbeam_protocol::Message;
 use hornbeam_protocol::control::DiskId;
 use hornbeam_protocol::features::Features;
-use hornbeam_storage::Folder;
+use hornbeam_storage::{Folder, StorageError};
 use serde_json::json;
 use tokio::sync::oneshot;
 
 use super::Controller;
 use super::peers::MAX_REPORTED_LEADER_AGE;
 use crate::api::ApiResponse;
+use crate::log_disk::LogDisk;
 
 /// Time without a reply after which a voter is replaced by a standby controller. Long enough for a
 /// restart, and short enough that the set of voters is complete again before the next loss.
@@ -25,6 +26,8 @@
 /// Time for which founders with empty disks wait before they start a log. Entries and other controllers
 /// that hold a table connect and answer within it.
 const FOUNDING_WAIT: Duration = Duration::from_secs(1);
+/// Writes that the disk of the leader may be behind before it refuses proposals and another one is to lead.
+const MAX_UNSYNCED_WRITES: usize = 64;
 /// Applied log entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 1_024;
 
@@ -52,6 +55,7 @@
         let Some(path) = &self.settings.data_dir else { return };
         // Releases the lock of the folder, which a voter whose disk has failed still holds.
         self.voter = None;
+        self.log_disk = None;
         let seeds = self.settings.seed_names();
         let is_founder = self.settings.founding && seeds.contains(&self.me);
         let named = if is_founder { seeds } else { Vec::new() };
@@ -76,10 +80,13 @@
         let mut out = Vec::new();
         let opened = folder.and_then(|(folder, _)| {
             let disk = DiskId(rand::random());
-            Voter::open(now, folder, params, disk, &mut out).map_err(|e| e.to_string())
+            let opened = Voter::open_with_writer(now, folder, params, disk, &mut out);
+            let (voter, store) = opened.map_err(|e| e.to_string())?;
+            Ok((voter, LogDisk::start(store).map_err(|e| e.to_string())?))
         });
         match opened {
-            Ok(voter) => {
+            Ok((voter, log_disk)) => {
+                self.log_disk = Some(log_disk);
                 self.may_found = is_initial_voter && !self.settings.found_anew;
                 if let Some(raft) = voter.raft() {
                     if let Some(table) = raft.state().table() {
@@ -105,6 +112,19 @@
         let Some(voter) = &mut self.voter else { return };
         let mut out = Vec::new();
         voter.step(now, input, &mut out);
+        self.after_step(now, out).await;
+    }
+
+    /// Takes the result of a write of the log.
+    pub(super) async fn on_written(&mut self, written: Result<(), StorageError>) {
+        let Some(voter) = &mut self.voter else { return };
+        let mut out = Vec::new();
+        let now = self.clock.now();
+        voter.on_written(now, written, &mut out);
+        self.after_step(now, out).await;
+    }
+
+    async fn after_step(&mut self, now: Mono, out: Vec<RaftOutput>) {
         self.apply_outputs(out).await;
         self.log_status();
         self.publish_orders_once_current(now);
@@ -123,10 +143,13 @@
                 RaftOutput::Confirmed(at) => self.reply_to_reads(at),
                 RaftOutput::Decided { id, outcome } => self.on_outcome(id, outcome),
                 RaftOutput::Event(event) => self.events.record(event),
-                // The voter has carried out the writes; a controller serves no configuration.
-                RaftOutput::Persist(_)
-                | RaftOutput::ChangeCommitted { .. }
-                | RaftOutput::SnapshotInstalled(_) => {}
+                RaftOutput::Persist(persist) => {
+                    if let Some(disk) = &self.log_disk {
+                        disk.write(persist);
+                    }
+                }
+                // A controller serves no configuration.
+                RaftOutput::ChangeCommitted { .. } | RaftOutput::SnapshotInstalled(_) => {}
             }
         }
         if let Some(table) = latest {
@@ -176,8 +199,9 @@
         tx: oneshot::Sender<ApiResponse>,
     ) {
         let Some(raft) = self.raft() else { return self.redirect_to_leader(tx) };
-        // A committed table of the same or a later version supersedes this one for good.
-        if let Some(held) = raft.state().superseded_by(&table) {
+        // A committed table of the same or a later version supersedes this one for good, once it is on the disk.
+        let held = raft.state().superseded_by(&table);
+        if let Some(held) = held.filter(|_| !self.holds_commits()) {
             let fields =
                 json!({"decision": "table_superseded", "table": table.version, "held": held});
             self.write_log("put_table", false, &fields);
@@ -247,8 +271,18 @@
         self.step(RaftInput::ConfigExists).await;
     }
 
+    /// Returns true if state was committed that is not on the disk yet, and so is not in force here.
+    pub(super) fn holds_commits(&self) -> bool {
+        self.voter.as_ref().is_some_and(Voter::holds_commits)
+    }
+
     /// Proposes an entry of the log; the outcome is reported to `tx`.
     pub(super) async fn propose(&mut self, proposal: Proposal, tx: oneshot::Sender<ApiResponse>) {
+        if self.voter.as_ref().is_some_and(|v| v.unsynced_writes() >= MAX_UNSYNCED_WRITES) {
+            self.step(RaftInput::TransferLeadership).await;
+            return self
+                .reply_unavailable(tx, "the disk is behind: send the request again in a second");
+        }
         self.proposals.retain(|_, tx| !tx.is_closed());
         let id = ProposalId(self.next_proposal);
         self.next_proposal += 1;
@@ -301,6 +335,10 @@
     /// Replies to the reads that arrived no later than `at`, when the state was confirmed.
     pub(super) fn reply_to_reads(&mut self, at: Mono) {
         let Some(raft) = self.voter.as_ref().and_then(Voter::raft) else { return };
+        if self.holds_commits() {
+            // The next confirmation answers them.
+            return;
+        }
         let table = raft.state().table().cloned();
         for (arrived, tx) in std::mem::take(&mut self.pending_reads) {
             if arrived > at {
--- a/crates/hornbeam_controller/src/state/mod.rs
+++ b/crates/hornbeam_controller/src/state/mod.rs
@@ -35,12 +35,14 @@
 use hornbeam_protocol::features::Features;
 use hornbeam_protocol::{FrameKey, Message};
 use hornbeam_settings::{FleetSettings, SettingsError};
+use hornbeam_storage::StorageError;
 use indexmap::IndexMap;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::api::{ApiRequest, ApiResponse};
 use crate::feed::{FeedEvent, FeedId, FeedSender};
+use crate::log_disk::LogDisk;
 use crate::metrics::Metrics;
 use crate::state_file::{CrashFile, ServerFile};
 use crate::tables::RecentTables;
@@ -98,6 +100,8 @@
     crash_file: Option<CrashFile>,
     /// `None` without a data folder and while the disk cannot be used.
     voter: Option<Voter>,
+    /// Present while there is a voter.
+    log_disk: Option<LogDisk>,
     reopen_at: Mono,
     /// State of the control log that was written to the log last; `None` while there is no voter.
     logged_status: Option<log_status::LogStatus>,
@@ -195,6 +199,7 @@
             crash_reports: CrashReports::default(),
             crash_file: None,
             voter: None,
+            log_disk: None,
             reopen_at: now,
             logged_status: None,
             tables: RecentTables::default(),
@@ -229,6 +234,7 @@
                 Some((peer, known)) = inputs.incoming.stale_sessions.recv() => {
                     self.net.send(&peer, Message::StaleSession { known }).await;
                 }
+                written = next_written(&mut self.log_disk) => self.on_written(written).await,
                 Some(event) = inputs.feed_events.recv() => self.on_feed_event(event).await,
                 request = inputs.requests.recv() => match request {
                     Some(request) => self.on_request(request).await,
@@ -323,6 +329,8 @@
         let replacing = raft.is_some_and(|r| r.membership().replacement.is_some());
         self.metrics.replacing_voter.set(i64::from(replacing));
         self.metrics.committed_index.set(raft.map_or(0, |r| r.commit_index().0) as i64);
+        let unsynced = self.voter.as_ref().map_or(0, Voter::unsynced_writes);
+        self.metrics.unsynced_writes.set(unsynced as i64);
     }
 
     /// Discards the servers that are ready and all feeds after a suspension of the machine, because
@@ -353,3 +361,11 @@
         }
     }
 }
+
+/// Waits for the result of the next write of the control log; waits forever without one.
+async fn next_written(disk: &mut Option<LogDisk>) -> Result<(), StorageError> {
+    match disk {
+        Some(disk) => disk.next_result().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/hornbeam_controller/src/state/zone_orders.rs
+++ b/crates/hornbeam_controller/src/state/zone_orders.rs
@@ -41,8 +41,11 @@
 pub(super) type SentOrders = Option<(OrderIndex, bool)>;
 
 impl Controller {
-    /// Returns true if the local state holds all orders that were committed until recently.
+    /// Returns true if the orders in force here are all that were committed until recently.
     fn knows_all_orders(&self, now: Mono) -> bool {
+        if self.holds_commits() {
+            return false;
+        }
         let caught_up_at = self.raft().and_then(|r| r.caught_up_at());
         caught_up_at.is_some_and(|at| now.since(at) < MAX_STATE_AGE)
     }
--- a/crates/hornbeam_testkit/src/control/check.rs
+++ b/crates/hornbeam_testkit/src/control/check.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Checks the state that an instance has committed and not reported yet, since it waits for its disk.
+    pub(super) fn check_unreported_commits(&mut self, i: NodeIdx) {
+        let Some(raft) = self.raft(i) else { return };
+        let config = raft.state().config.clone();
+        if self.nodes[i].voter.as_ref().is_some_and(Voter::holds_commits) {
+            self.check_committed(i, &config);
+        }
+    }
+
     /// Checks that a confirmation as of `at` includes every change that was accepted before `at`.
     pub(super) fn check_confirmed(&mut self, i: NodeIdx, at: Mono) {
         let Some(raft) = self.raft(i) else { return };
@@ -104,7 +113,7 @@
     /// Returns whether an instance that has just started can know `revision`, that is, whether its
     /// disk holds it. An instance without a disk cannot while it is cut off from all that know it.
     fn can_know(&self, i: NodeIdx, revision: Revision) -> bool {
-        let kept = self.nodes[i].voter.as_ref().and_then(Voter::saved_config);
+        let kept = self.saved_config(i);
         kept.is_some_and(|c| c.revision >= revision)
     }
 
--- a/crates/hornbeam_testkit/src/control/mod.rs
+++ b/crates/hornbeam_testkit/src/control/mod.rs
@@ -12,13 +12,14 @@
 mod links;
 mod steps;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_control::{
-    ConfigFollower, FollowerParams, Proposal, ProposalId, ProposalOutcome, RaftInput, RaftParams,
-    RepairPolicy, Role, Voter,
+    ConfigFollower, FollowerParams, Persist, Proposal, ProposalId, ProposalOutcome, RaftInput,
+    RaftParams, RepairPolicy, Role, Voter,
 };
 use hornbeam_model::{
     Change, ChangeId, Config, InstanceId, Mono, OrderIndex, Revision, Routing, TableVersion,
@@ -26,7 +27,7 @@
 };
 use hornbeam_protocol::control::{ChangeCommand, ControlMessage, DiskId, Term};
 use hornbeam_protocol::{ConfigState, Message};
-use hornbeam_storage::{Folder, MemoryFolder};
+use hornbeam_storage::{Folder, MemoryFolder, Store};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -50,9 +51,27 @@
 
 #[derive(Debug)]
 enum SimEvent {
-    Arrival { from: NodeIdx, to: NodeIdx, message: NetMessage },
+    Arrival {
+        from: NodeIdx,
+        to: NodeIdx,
+        message: NetMessage,
+    },
     Wake(NodeIdx),
     Digest(NodeIdx),
+    /// The oldest write of this start of an instance is synced.
+    Written {
+        node: NodeIdx,
+        start: u64,
+    },
+}
+
+/// Writes that an instance carries out beside its other work.
+struct PendingWrites {
+    store: Store,
+    /// Writes that are not synced yet, oldest first.
+    queue: VecDeque<Persist>,
+    /// Number of the start of the instance.
+    start: u64,
 }
 
 /// One simulated instance.
@@ -74,6 +93,8 @@
     /// Time at which each revision came into force since the last start.
     pub in_force: BTreeMap<Revision, Mono>,
     is_voter: bool,
+    /// Present while the voter is, if [`ControlCluster::sync_time`] is set.
+    writes: Option<PendingWrites>,
 }
 
 /// Proposal that was submitted, and its outcome.
@@ -109,6 +130,11 @@
     pub repair: Option<RepairPolicy>,
     /// Time for which blank initial voters that start from now on wait for objections.
     pub founding_wait: Duration,
+    /// Range of the time, in microseconds, that each sync takes at voters that start from now on. They do not wait for
+    /// it; if none, each write is synced at once.
+    pub sync_time: Option<RangeInclusive<u64>>,
+    /// Instances whose syncs do not end, where [`Self::sync_time`] is set.
+    pub hung_disks: BTreeSet<NodeIdx>,
     /// Events of all instances, in the order in which they occurred.
     pub events: Vec<(Mono, InstanceId, hornbeam_events::Event)>,
     /// Configurations that came into force, by instance; the caller drains the list.
@@ -119,6 +145,7 @@
     event_queue: EventQueue<SimEvent>,
     next_proposal: u64,
     next_disk: u64,
+    next_start: u64,
     /// Directed links that drop every message.
     cut: BTreeSet<(NodeIdx, NodeIdx)>,
     leaders: BTreeMap<Term, InstanceId>,
@@ -150,6 +177,8 @@
             snapshot_interval_entries: 64,
             repair: None,
             founding_wait: Duration::ZERO,
+            sync_time: None,
+            hung_disks: BTreeSet::new(),
             events: Vec::new(),
             came_into_force: Vec::new(),
             control_messages: 0,
@@ -157,6 +186,7 @@
             event_queue: EventQueue::default(),
             next_proposal: 1,
             next_disk: 1,
+            next_start: 1,
             cut: BTreeSet::new(),
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
@@ -176,6 +206,7 @@
                 served: Revision(0),
                 in_force: BTreeMap::new(),
                 is_voter: i < voters,
+                writes: None,
             });
         }
         for i in 0..voters + others {
@@ -235,12 +266,24 @@
             self.next_disk += 1;
             let folder = Folder::Memory(disk.clone());
             let new_disk = DiskId(self.next_disk);
-            match Voter::open(self.now, folder, params, new_disk, &mut out) {
-                Ok(voter) => node.voter = Some(voter),
+            self.next_start += 1;
+            let opened = if self.sync_time.is_none() {
+                Voter::open(self.now, folder, params, new_disk, &mut out).map(|v| (v, None))
+            } else {
+                let opened = Voter::open_with_writer(self.now, folder, params, new_disk, &mut out);
+                opened.map(|(voter, store)| (voter, Some(store)))
+            };
+            match opened {
+                Ok((voter, store)) => {
+                    let (queue, start) = (VecDeque::new(), self.next_start);
+                    node.writes = store.map(|store| PendingWrites { store, queue, start });
+                    node.voter = Some(voter);
+                }
                 Err(e) => node.open_error = Some(e.to_string()),
             }
         }
-        let saved_config = node.voter.as_ref().and_then(Voter::saved_config);
+        let saved_config = self.saved_config(i);
+        let node = &mut self.nodes[i];
         let params = FollowerParams {
             peers,
             confirmation_timeout: Duration::from_secs(3),
@@ -258,8 +301,16 @@
         self.queue(self.now + first, SimEvent::Digest(i));
     }
 
-    /// Stops an instance without a shutdown; its disk is kept and its sent messages still arrive.
+    /// Stops an instance without a shutdown; its disk is kept and its sent messages still arrive. Of the writes that
+    /// are not synced, some may be on the disk.
     pub fn crash(&mut self, i: NodeIdx) {
+        if let Some(mut writes) = self.nodes[i].writes.take() {
+            let kept = self.rng.random_range(0..=writes.queue.len());
+            for persist in writes.queue.drain(..kept) {
+                // The disk may have failed already.
+                let _ = hornbeam_control::write(&mut writes.store, &persist);
+            }
+        }
         self.nodes[i].voter = None;
         self.nodes[i].follower = None;
         self.tables.remove(&i);
@@ -278,6 +329,14 @@
         self.nodes[i].disk = Some(MemoryFolder::default());
     }
 
+    /// Returns the configuration that an instance with the control role has saved.
+    pub(crate) fn saved_config(&self, i: NodeIdx) -> Option<Config> {
+        let node = &self.nodes[i];
+        node.voter.as_ref()?;
+        let disk = Folder::Memory(node.disk.as_ref()?.clone());
+        hornbeam_control::voter::saved_config(&disk)
+    }
+
     /// Returns whether an instance is up.
     pub fn is_up(&self, i: NodeIdx) -> bool {
         self.nodes[i].follower.is_some()
--- a/crates/hornbeam_testkit/src/control/steps.rs
+++ b/crates/hornbeam_testkit/src/control/steps.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use hornbeam_control::{
-    FollowerInput, FollowerOutput, ProposalId, ProposalOutcome, RaftInput, RaftOutput, Voter,
+    FollowerInput, FollowerOutput, Persist, ProposalId, ProposalOutcome, RaftInput, RaftOutput,
+    Voter,
 };
 use hornbeam_model::{InstanceId, Mono, Revision};
 use hornbeam_protocol::control::ChangeOutcome;
+use hornbeam_storage::Folder;
 use rand::Rng;
 
 use super::{ControlCluster, DIGEST_FANOUT, DIGEST_INTERVAL, NetMessage, NodeIdx, SimEvent};
@@ -21,9 +23,44 @@
             SimEvent::Arrival { from, to, message } => self.deliver(from, to, message),
             SimEvent::Wake(i) => self.wake(i),
             SimEvent::Digest(i) => self.digest(i),
+            SimEvent::Written { node, start } => self.finish_write(node, start),
         }
     }
 
+    /// Takes over a write that an instance carries out beside its other work.
+    fn begin_write(&mut self, i: NodeIdx, persist: Persist) {
+        let Some(writes) = &mut self.nodes[i].writes else { return };
+        writes.queue.push_back(persist);
+        if writes.queue.len() == 1 {
+            self.schedule_write(i);
+        }
+    }
+
+    fn schedule_write(&mut self, i: NodeIdx) {
+        let (Some(writes), Some(time)) = (&self.nodes[i].writes, &self.sync_time) else { return };
+        let start = writes.start;
+        let at = self.now + Duration::from_micros(self.rng.random_range(time.clone()));
+        self.queue(at, SimEvent::Written { node: i, start });
+    }
+
+    fn finish_write(&mut self, i: NodeIdx, start: u64) {
+        let Some(writes) = self.nodes[i].writes.as_mut().filter(|w| w.start == start) else {
+            return;
+        };
+        if self.hung_disks.contains(&i) {
+            return self.schedule_write(i);
+        }
+        let Some(persist) = writes.queue.pop_front() else { return };
+        let written = hornbeam_control::write(&mut writes.store, &persist);
+        if !writes.queue.is_empty() {
+            self.schedule_write(i);
+        }
+        let Some(voter) = &mut self.nodes[i].voter else { return };
+        let mut out = Vec::new();
+        voter.on_written(self.now, written, &mut out);
+        self.after_voter(i, out);
+    }
+
     pub(super) fn deliver(&mut self, from: NodeIdx, to: NodeIdx, message: NetMessage) {
         if self.cut.contains(&(from, to)) || !self.is_up(to) {
             return;
@@ -96,7 +133,12 @@
         };
         let mut out = Vec::new();
         voter.step(self.now, input, &mut out);
+        self.after_voter(i, out);
+    }
+
+    fn after_voter(&mut self, i: NodeIdx, out: Vec<RaftOutput>) {
         self.apply_outputs(i, out);
+        self.check_unreported_commits(i);
         self.check_leader(i);
         let crashed = self.nodes[i].voter.as_ref().is_some_and(|v| v.raft().is_none());
         if crashed {
@@ -120,9 +162,11 @@
                     self.came_into_force.push((i, config));
                 }
                 FollowerOutput::Save(config) => {
-                    if let Some(voter) = &self.nodes[i].voter {
+                    let node = &self.nodes[i];
+                    if let (Some(_), Some(disk)) = (&node.voter, &node.disk) {
                         // A simulated crash during this write makes the voter's next write fail.
-                        let _ = voter.save_config(&config);
+                        let disk = Folder::Memory(disk.clone());
+                        let _ = hornbeam_control::voter::save_config(&disk, &config);
                     }
                 }
                 FollowerOutput::Confirmed(_) => {}
@@ -159,8 +203,8 @@
                 }
                 RaftOutput::ZoneOrdersCommitted(orders) => self.check_orders(i, orders.index),
                 RaftOutput::RoutingCommitted(table) => self.check_table(i, table.version),
-                // `Voter::step` writes these to its disk and does not emit them.
-                RaftOutput::Persist(_) => {}
+                // Emitted only by a voter that leaves the writes to its caller.
+                RaftOutput::Persist(persist) => self.begin_write(i, persist),
                 RaftOutput::Decided { id, outcome } => self.record_outcome(id, outcome),
                 RaftOutput::Event(event) => self.record_event(i, event),
             }
