A voter whose disk hangs is replaced

A leader with entries for it sends them instead of heartbeats, and those are acknowledged only once they are synced. Change: a test, control/slow_disks hung_voter_is_replaced.

--- a/crates/hornbeam_control/tests/slow_disks.rs
+++ b/crates/hornbeam_control/tests/slow_disks.rs
@@ -275,3 +275,29 @@
     }
     assert_eq!(found, Vec::new(), "syncs in ms, and seeds without a leader for 30 s");
 }
+
+/// Guards against a voter whose disk hangs for good and that keeps its place, since it still answers heartbeats.
+#[test]
+fn hung_voter_is_replaced() {
+    let mut kept = Vec::new();
+    for seed in 0..10 {
+        let mut cluster = ControlCluster::with_repair(seed, 0, 1_024);
+        set_sync_time(&mut cluster, 500, 1_500);
+        cluster.run_for(4 * SECOND);
+        let leader = cluster.leader().expect("a leader");
+        let members = |c: &ControlCluster| c.raft(leader).map(|r| r.membership().clone());
+        let voters = members(&cluster).expect("a voter").voters;
+        let is_follower = |i: &usize| *i != leader && voters.contains_key(&cluster.nodes[*i].name);
+        let hung = (0..4).find(is_follower).expect("another voter");
+        let name = cluster.nodes[hung].name.clone();
+        cluster.hung_disks.insert(hung);
+        for version in 1..=20 {
+            cluster.submit_table(leader, version);
+            cluster.run_for(SECOND / 2);
+        }
+        if members(&cluster).is_none_or(|m| m.voters.contains_key(&name)) {
+            kept.push(seed);
+        }
+    }
+    assert_eq!(kept, Vec::<u64>::new(), "seeds in which it is still a voter after 10 s");
+}
